Workspace of packages, formatter, linter and the fold of the two lists

Cause: nothing stood yet; every later part needs the modules and their checks. Ruled out: one module (the arrows could not be held by the build). Change: eight modules, Spotless (AOSP) and Checkstyle as checks, enforcer; core values and ConfigState. Before: empty.

--- /dev/null
+++ b/core/src/main/java/io/cardamomshelf/core/base/DataCentreId.java
@@ -0,0 +1,44 @@
+package io.cardamomshelf.core.base;
+
+/**
+ * Identifies a data centre, the unit that operators take out and bring back.
+ *
+ * <p>Use: {@code DataCentreId.of("jhb-a")}. The text is a {@linkplain Checks#name name}: 1 to 64
+ * characters.
+ *
+ * <p>Immutable and thread-safe.
+ *
+ * @param value the text, not null
+ */
+public record DataCentreId(String value) implements Comparable<DataCentreId> {
+
+    /**
+     * Creates an identifier.
+     *
+     * @throws IllegalArgumentException if the text is no name
+     */
+    public DataCentreId {
+        Checks.name("data centre", value);
+    }
+
+    /**
+     * Makes an identifier of a text.
+     *
+     * @param value the text, not null
+     * @return the identifier, never null
+     * @throws IllegalArgumentException if the text is no name
+     */
+    public static DataCentreId of(String value) {
+        return new DataCentreId(value);
+    }
+
+    @Override
+    public int compareTo(DataCentreId other) {
+        return value.compareTo(other.value);
+    }
+
+    @Override
+    public String toString() {
+        return value;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/io/cardamomshelf/core/base/InstanceId.java
@@ -0,0 +1,44 @@
+package io.cardamomshelf.core.base;
+
+/**
+ * Identifies one run of an entry instance; a restarted process has another.
+ *
+ * <p>Use: {@code InstanceId.of("entry-1")}. The text is a {@linkplain Checks#name name}: 1 to 64
+ * characters.
+ *
+ * <p>Immutable and thread-safe.
+ *
+ * @param value the text, not null
+ */
+public record InstanceId(String value) implements Comparable<InstanceId> {
+
+    /**
+     * Creates an identifier.
+     *
+     * @throws IllegalArgumentException if the text is no name
+     */
+    public InstanceId {
+        Checks.name("instance", value);
+    }
+
+    /**
+     * Makes an identifier of a text.
+     *
+     * @param value the text, not null
+     * @return the identifier, never null
+     * @throws IllegalArgumentException if the text is no name
+     */
+    public static InstanceId of(String value) {
+        return new InstanceId(value);
+    }
+
+    @Override
+    public int compareTo(InstanceId other) {
+        return value.compareTo(other.value);
+    }
+
+    @Override
+    public String toString() {
+        return value;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/io/cardamomshelf/core/base/JobId.java
@@ -0,0 +1,44 @@
+package io.cardamomshelf.core.base;
+
+/**
+ * Identifies a job over its whole life, on every instance and worker.
+ *
+ * <p>Use: {@code JobId.of("j-7f3a")}. The text is a {@linkplain Checks#name name}: 1 to 64
+ * characters.
+ *
+ * <p>Immutable and thread-safe.
+ *
+ * @param value the text, not null
+ */
+public record JobId(String value) implements Comparable<JobId> {
+
+    /**
+     * Creates an identifier.
+     *
+     * @throws IllegalArgumentException if the text is no name
+     */
+    public JobId {
+        Checks.name("job", value);
+    }
+
+    /**
+     * Makes an identifier of a text.
+     *
+     * @param value the text, not null
+     * @return the identifier, never null
+     * @throws IllegalArgumentException if the text is no name
+     */
+    public static JobId of(String value) {
+        return new JobId(value);
+    }
+
+    @Override
+    public int compareTo(JobId other) {
+        return value.compareTo(other.value);
+    }
+
+    @Override
+    public String toString() {
+        return value;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/io/cardamomshelf/core/base/OrganisationId.java
@@ -0,0 +1,44 @@
+package io.cardamomshelf.core.base;
+
+/**
+ * Identifies an organisation that holds plans and sends requests and jobs.
+ *
+ * <p>Use: {@code OrganisationId.of("rotating-savings")}. The text is a {@linkplain Checks#name
+ * name}: 1 to 64 characters.
+ *
+ * <p>Immutable and thread-safe.
+ *
+ * @param value the text, not null
+ */
+public record OrganisationId(String value) implements Comparable<OrganisationId> {
+
+    /**
+     * Creates an identifier.
+     *
+     * @throws IllegalArgumentException if the text is no name
+     */
+    public OrganisationId {
+        Checks.name("organisation", value);
+    }
+
+    /**
+     * Makes an identifier of a text.
+     *
+     * @param value the text, not null
+     * @return the identifier, never null
+     * @throws IllegalArgumentException if the text is no name
+     */
+    public static OrganisationId of(String value) {
+        return new OrganisationId(value);
+    }
+
+    @Override
+    public int compareTo(OrganisationId other) {
+        return value.compareTo(other.value);
+    }
+
+    @Override
+    public String toString() {
+        return value;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/io/cardamomshelf/core/base/WorkerId.java
@@ -0,0 +1,44 @@
+package io.cardamomshelf.core.base;
+
+/**
+ * Identifies a worker.
+ *
+ * <p>Use: {@code WorkerId.of("jhb-a-r1-w3")}. The text is a {@linkplain Checks#name name}: 1 to 64
+ * characters.
+ *
+ * <p>Immutable and thread-safe.
+ *
+ * @param value the text, not null
+ */
+public record WorkerId(String value) implements Comparable<WorkerId> {
+
+    /**
+     * Creates an identifier.
+     *
+     * @throws IllegalArgumentException if the text is no name
+     */
+    public WorkerId {
+        Checks.name("worker", value);
+    }
+
+    /**
+     * Makes an identifier of a text.
+     *
+     * @param value the text, not null
+     * @return the identifier, never null
+     * @throws IllegalArgumentException if the text is no name
+     */
+    public static WorkerId of(String value) {
+        return new WorkerId(value);
+    }
+
+    @Override
+    public int compareTo(WorkerId other) {
+        return value.compareTo(other.value);
+    }
+
+    @Override
+    public String toString() {
+        return value;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/io/cardamomshelf/core/config/ListValue.java
@@ -0,0 +1,8 @@
+package io.cardamomshelf.core.config;
+
+/**
+ * A value of an entry of the two lists.
+ *
+ * <p>Immutable and thread-safe, as all its kinds are.
+ */
+public sealed interface ListValue permits Plan, Grant, Availability {}
--- /dev/null
+++ b/core/src/main/java/io/cardamomshelf/core/job/package-info.java
@@ -0,0 +1,2 @@
+/** Jobs, their acceptance, their queue and the steps of a gang. */
+package io.cardamomshelf.core.job;
