--- /dev/null
+++ b/core/src/main/java/io/cardamomshelf/core/fleet/Demand.java
@@ -0,0 +1,45 @@
+package io.cardamomshelf.core.fleet;
+
+import io.cardamomshelf.core.base.Checks;
+
+/**
+ * What a job needs to run: accelerators, how near they must be, and what goes with each.
+ *
+ * <p>Use: {@code new Demand(16, Adjacency.RACK, 8, 32_000)}.
+ *
+ * <p>Immutable and thread-safe.
+ *
+ * @param accelerators the accelerators of the whole job, 1 to 512
+ * @param adjacency how near they must be, not null
+ * @param coresEach processor cores for each accelerator, 0 to 1,000
+ * @param memoryMbEach memory for each accelerator in megabytes, 0 to 10,000,000
+ */
+public record Demand(int accelerators, Adjacency adjacency, int coresEach, int memoryMbEach) {
+
+    /** The largest gang, in accelerators. */
+    public static final int MAX_ACCELERATORS = 512;
+
+    private static final int MAX_CORES_EACH = 1_000;
+    private static final int MAX_MEMORY_MB_EACH = 10_000_000;
+
+    /**
+     * Creates a demand.
+     *
+     * @throws IllegalArgumentException if a value is missing or out of range
+     */
+    public Demand {
+        Checks.range("accelerators", accelerators, 1, MAX_ACCELERATORS);
+        Checks.notNull("adjacency", adjacency);
+        Checks.range("coresEach", coresEach, 0, MAX_CORES_EACH);
+        Checks.range("memoryMbEach", memoryMbEach, 0, MAX_MEMORY_MB_EACH);
+    }
+
+    /**
+     * Returns the level of the smallest block that holds the job: its size is two to that power.
+     *
+     * @return the level, 0 to 9
+     */
+    public int level() {
+        return Integer.SIZE - Integer.numberOfLeadingZeros(accelerators - 1);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/io/cardamomshelf/core/fleet/Fleet.java
@@ -0,0 +1,254 @@
+package io.cardamomshelf.core.fleet;
+
+import io.cardamomshelf.core.base.DataCentreId;
+import io.cardamomshelf.core.base.JobId;
+import io.cardamomshelf.core.base.OrganisationId;
+import io.cardamomshelf.core.base.WorkerId;
+import java.util.Collection;
+import java.util.Collections;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+/**
+ * The workers that an instance decides for, what is allocated on them, and the indexes over both.
+ *
+ * <p>Use: {@code fleet.put(worker)} as workers report, {@code fleet.allocate(allocation)} when a
+ * job is placed, {@code fleet.release(job)} when it ends. Each data centre has three indexes: the
+ * free cells, the reclaimable ones (free or borrowed), and all of them.
+ *
+ * <p>Not thread-safe: belongs to the instance's event loop.
+ */
+public final class Fleet {
+
+    private static final class Cells {
+        private final CellIndex free;
+        private final CellIndex reclaimable;
+        private final CellIndex all;
+        private int coresEach = Integer.MAX_VALUE;
+        private int memoryMbEach = Integer.MAX_VALUE;
+
+        Cells(DataCentreId dataCentre) {
+            free = new CellIndex(dataCentre);
+            reclaimable = new CellIndex(dataCentre);
+            all = new CellIndex(dataCentre);
+        }
+    }
+
+    private final Map<DataCentreId, Cells> dataCentres = new LinkedHashMap<>();
+    private final Map<WorkerId, Worker> workers = new LinkedHashMap<>();
+    private final Map<JobId, Allocation> allocations = new LinkedHashMap<>();
+    private final Map<WorkerId, Set<JobId>> jobsByWorker = new HashMap<>();
+    private final Map<OrganisationId, Integer> used = new HashMap<>();
+
+    /**
+     * Adds a worker; what is allocated on it already stays so.
+     *
+     * @param worker the worker, not null
+     * @return true if it was not there
+     */
+    public boolean put(Worker worker) {
+        if (workers.putIfAbsent(worker.id(), worker) != null) {
+            return false;
+        }
+        Cells cells = dataCentres.computeIfAbsent(worker.dataCentre(), Cells::new);
+        cells.coresEach = Math.min(cells.coresEach, worker.cores() / worker.accelerators());
+        cells.memoryMbEach =
+                Math.min(cells.memoryMbEach, worker.memoryMb() / worker.accelerators());
+        cells.free.put(worker);
+        cells.reclaimable.put(worker);
+        cells.all.put(worker);
+        for (JobId job : jobsOn(worker.id())) {
+            takeOn(cells, allocations.get(job), worker.id());
+        }
+        return true;
+    }
+
+    /**
+     * Removes a worker; the allocations on it stay until they are released.
+     *
+     * @param worker the worker, not null
+     * @return true if it was there
+     */
+    public boolean remove(WorkerId worker) {
+        Worker removed = workers.remove(worker);
+        if (removed == null) {
+            return false;
+        }
+        Cells cells = dataCentres.get(removed.dataCentre());
+        cells.free.remove(worker);
+        cells.reclaimable.remove(worker);
+        cells.all.remove(worker);
+        return true;
+    }
+
+    /**
+     * Allocates a job's cells.
+     *
+     * @param allocation the job and its cells, not null; a job that has cells is left as it is
+     */
+    public void allocate(Allocation allocation) {
+        if (allocations.putIfAbsent(allocation.job(), allocation) != null) {
+            return;
+        }
+        used.merge(allocation.organisation(), allocation.demand().accelerators(), Integer::sum);
+        Cells cells = cells(allocation);
+        cells.free.take(allocation.placement(), allocation.demand());
+        if (allocation.guaranteed()) {
+            cells.reclaimable.take(allocation.placement(), allocation.demand());
+        }
+        for (Slice slice : allocation.placement().slices()) {
+            jobsByWorker
+                    .computeIfAbsent(slice.worker(), any -> new LinkedHashSet<>())
+                    .add(allocation.job());
+        }
+    }
+
+    /**
+     * Releases a job's cells.
+     *
+     * @param job the job, not null
+     * @return what was released, empty if the job had no cells
+     */
+    public Optional<Allocation> release(JobId job) {
+        Allocation allocation = allocations.remove(job);
+        if (allocation == null) {
+            return Optional.empty();
+        }
+        used.merge(allocation.organisation(), -allocation.demand().accelerators(), Integer::sum);
+        Cells cells = cells(allocation);
+        cells.free.give(allocation.placement(), allocation.demand());
+        if (allocation.guaranteed()) {
+            cells.reclaimable.give(allocation.placement(), allocation.demand());
+        }
+        for (Slice slice : allocation.placement().slices()) {
+            jobsByWorker.get(slice.worker()).remove(job);
+        }
+        return Optional.of(allocation);
+    }
+
+    /**
+     * Returns the data centres that have or had workers.
+     *
+     * @return the data centres, never null
+     */
+    public Set<DataCentreId> dataCentres() {
+        return Collections.unmodifiableSet(dataCentres.keySet());
+    }
+
+    /**
+     * Returns the index of free cells.
+     *
+     * @param dataCentre a data centre, not null
+     * @return the index, never null
+     */
+    public CellIndex free(DataCentreId dataCentre) {
+        return cells(dataCentre).free;
+    }
+
+    /**
+     * Returns the index of cells that are free or borrowed.
+     *
+     * @param dataCentre a data centre, not null
+     * @return the index, never null
+     */
+    public CellIndex reclaimable(DataCentreId dataCentre) {
+        return cells(dataCentre).reclaimable;
+    }
+
+    /**
+     * Returns the index of all cells, as if nothing ran.
+     *
+     * @param dataCentre a data centre, not null
+     * @return the index, never null
+     */
+    public CellIndex all(DataCentreId dataCentre) {
+        return cells(dataCentre).all;
+    }
+
+    /**
+     * Asks whether a demand stays within an accelerator's even share of a worker's cores and
+     * memory, so that a guarantee which counts accelerators only can be kept for it.
+     *
+     * @param dataCentre a data centre, not null
+     * @param demand the demand, not null
+     * @return true if it does
+     */
+    public boolean isWithinShare(DataCentreId dataCentre, Demand demand) {
+        Cells cells = cells(dataCentre);
+        return demand.coresEach() <= cells.coresEach && demand.memoryMbEach() <= cells.memoryMbEach;
+    }
+
+    /**
+     * Returns the accelerators that an organisation uses, guaranteed and borrowed.
+     *
+     * @param organisation the organisation, not null
+     * @return the number, from 0
+     */
+    public int used(OrganisationId organisation) {
+        return used.getOrDefault(organisation, 0);
+    }
+
+    /**
+     * Returns a worker.
+     *
+     * @param worker the worker's id, not null
+     * @return the worker, empty if it is not there
+     */
+    public Optional<Worker> worker(WorkerId worker) {
+        return Optional.ofNullable(workers.get(worker));
+    }
+
+    /**
+     * Returns a job's allocation.
+     *
+     * @param job the job, not null
+     * @return the allocation, empty if the job has no cells
+     */
+    public Optional<Allocation> allocation(JobId job) {
+        return Optional.ofNullable(allocations.get(job));
+    }
+
+    /**
+     * Returns all allocations.
+     *
+     * @return the allocations, never null
+     */
+    public Collection<Allocation> allocations() {
+        return Collections.unmodifiableCollection(allocations.values());
+    }
+
+    /**
+     * Returns the jobs that have cells on a worker.
+     *
+     * @param worker the worker, not null
+     * @return the jobs, never null
+     */
+    public Set<JobId> jobsOn(WorkerId worker) {
+        return Collections.unmodifiableSet(jobsByWorker.getOrDefault(worker, Set.of()));
+    }
+
+    private Cells cells(Allocation allocation) {
+        return cells(allocation.placement().dataCentre());
+    }
+
+    private Cells cells(DataCentreId dataCentre) {
+        return dataCentres.computeIfAbsent(dataCentre, Cells::new);
+    }
+
+    private void takeOn(Cells cells, Allocation allocation, WorkerId worker) {
+        Placement part =
+                new Placement(
+                        allocation.placement().dataCentre(),
+                        allocation.placement().slices().stream()
+                                .filter(slice -> slice.worker().equals(worker))
+                                .toList());
+        cells.free.take(part, allocation.demand());
+        if (allocation.guaranteed()) {
+            cells.reclaimable.take(part, allocation.demand());
+        }
+    }
+}
--- /dev/null
+++ b/core/src/main/java/io/cardamomshelf/core/fleet/Placement.java
@@ -0,0 +1,45 @@
+package io.cardamomshelf.core.fleet;
+
+import io.cardamomshelf.core.base.Checks;
+import io.cardamomshelf.core.base.DataCentreId;
+import java.util.List;
+
+/**
+ * The cells chosen for a whole gang, one slice for each member; the first member is the lead.
+ *
+ * <p>Immutable and thread-safe.
+ *
+ * @param dataCentre where all members are, not null
+ * @param slices the members, each on another worker, not null, not empty
+ */
+public record Placement(DataCentreId dataCentre, List<Slice> slices) {
+
+    /**
+     * Creates a placement.
+     *
+     * @throws IllegalArgumentException if a value is missing or there is no member
+     */
+    public Placement {
+        Checks.notNull("dataCentre", dataCentre);
+        slices = List.copyOf(Checks.notNull("slices", slices));
+        Checks.range("slices", slices.size(), 1, Demand.MAX_ACCELERATORS);
+    }
+
+    /**
+     * Returns the lead member, whose lease carries the commit.
+     *
+     * @return the lead, never null
+     */
+    public Slice lead() {
+        return slices.get(0);
+    }
+
+    /**
+     * Returns the number of accelerators of all members.
+     *
+     * @return the number, from 1
+     */
+    public int accelerators() {
+        return slices.stream().mapToInt(Slice::accelerators).sum();
+    }
+}
--- /dev/null
+++ b/core/src/main/java/io/cardamomshelf/core/job/JobTable.java
@@ -0,0 +1,175 @@
+package io.cardamomshelf.core.job;
+
+import io.cardamomshelf.core.base.InstanceId;
+import io.cardamomshelf.core.base.JobId;
+import java.util.Collection;
+import java.util.Collections;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Optional;
+
+/**
+ * The jobs known from the log's job stream, folded in offset order.
+ *
+ * <p>Use: {@code table.fold(offset, record)} for each record. Every instance that folds the same
+ * records names the same owner for each job.
+ *
+ * <p>Limits: keeps the last 4,096 ended jobs.
+ *
+ * <p>Not thread-safe: belongs to the instance's event loop.
+ */
+public final class JobTable {
+
+    private static final int ENDED_KEPT = 4_096;
+
+    /**
+     * A job as the stream tells it.
+     *
+     * @param id the job, not null
+     * @param spec what was asked, not null
+     * @param owner who may place it, not null
+     * @param ownerOffset the offset of the record that named the owner; the fencing token of its
+     *     leases
+     * @param cancelled whether its caller cancelled it
+     * @param end how it ended, not null, empty while it hasn't
+     */
+    public record Job(
+            JobId id,
+            JobSpec spec,
+            InstanceId owner,
+            long ownerOffset,
+            boolean cancelled,
+            Optional<JobRecord.Ended> end) {
+
+        /**
+         * Asks whether the job still has to be run.
+         *
+         * @return true if it is neither ended nor cancelled
+         */
+        public boolean isOpen() {
+            return end.isEmpty() && !cancelled;
+        }
+    }
+
+    private final Map<JobId, Job> open = new LinkedHashMap<>();
+    private final Map<JobId, Job> ended = new LinkedHashMap<>();
+    private long offset;
+
+    /**
+     * Returns the offset of the last folded record.
+     *
+     * @return the offset, 0 before any
+     */
+    public long offset() {
+        return offset;
+    }
+
+    /**
+     * Returns the jobs that haven't ended, in order of acceptance.
+     *
+     * @return the jobs, never null
+     */
+    public Collection<Job> open() {
+        return Collections.unmodifiableCollection(open.values());
+    }
+
+    /**
+     * Returns a job.
+     *
+     * @param id the job's id, not null
+     * @return the job, empty if it is unknown
+     */
+    public Optional<Job> job(JobId id) {
+        Job job = open.get(id);
+        return Optional.ofNullable(job != null ? job : ended.get(id));
+    }
+
+    /**
+     * Folds one record.
+     *
+     * @param recordOffset the record's offset; a record at or below the last one is passed over
+     * @param record the record, not null
+     */
+    public void fold(long recordOffset, JobRecord record) {
+        if (recordOffset <= offset) {
+            return;
+        }
+        offset = recordOffset;
+        if (record instanceof JobRecord.Accepted accepted) {
+            accept(recordOffset, accepted);
+        } else if (record instanceof JobRecord.Claimed claimed) {
+            claim(recordOffset, claimed);
+        } else if (record instanceof JobRecord.Cancelled cancelled) {
+            cancel(cancelled);
+        } else if (record instanceof JobRecord.Ended end) {
+            end(end);
+        }
+    }
+
+    /**
+     * Moves past a record that can't be read.
+     *
+     * @param recordOffset the record's offset
+     */
+    public void skip(long recordOffset) {
+        offset = Math.max(offset, recordOffset);
+    }
+
+    private void accept(long recordOffset, JobRecord.Accepted accepted) {
+        if (job(accepted.job()).isPresent()) {
+            return;
+        }
+        open.put(
+                accepted.job(),
+                new Job(
+                        accepted.job(),
+                        accepted.spec(),
+                        accepted.owner(),
+                        recordOffset,
+                        false,
+                        Optional.empty()));
+    }
+
+    private void claim(long recordOffset, JobRecord.Claimed claimed) {
+        Job job = open.get(claimed.job());
+        if (job != null && job.ownerOffset() == claimed.basedOn()) {
+            open.put(
+                    job.id(),
+                    new Job(
+                            job.id(),
+                            job.spec(),
+                            claimed.owner(),
+                            recordOffset,
+                            job.cancelled(),
+                            job.end()));
+        }
+    }
+
+    private void cancel(JobRecord.Cancelled cancelled) {
+        Job job = open.get(cancelled.job());
+        if (job != null) {
+            open.put(
+                    job.id(),
+                    new Job(job.id(), job.spec(), job.owner(), job.ownerOffset(), true, job.end()));
+        }
+    }
+
+    private void end(JobRecord.Ended end) {
+        Job job = open.remove(end.job());
+        if (job == null) {
+            return;
+        }
+        ended.put(
+                job.id(),
+                new Job(
+                        job.id(),
+                        job.spec(),
+                        job.owner(),
+                        job.ownerOffset(),
+                        job.cancelled(),
+                        Optional.of(end)));
+        if (ended.size() > ENDED_KEPT) {
+            ended.remove(ended.keySet().iterator().next());
+        }
+    }
+}
--- /dev/null
+++ b/core/src/main/java/io/cardamomshelf/core/lease/WorkerReport.java
@@ -0,0 +1,28 @@
+package io.cardamomshelf.core.lease;
+
+import io.cardamomshelf.core.base.Checks;
+import io.cardamomshelf.core.fleet.Worker;
+import java.util.List;
+
+/**
+ * What a worker reports of itself: its properties, its leases and, with a lag, its usage.
+ *
+ * <p>Immutable and thread-safe.
+ *
+ * @param worker its properties, not null
+ * @param version rises with each change of its leases
+ * @param leases its leases, not null
+ * @param busyAccelerators how many accelerators were busy a while ago
+ */
+public record WorkerReport(Worker worker, long version, List<Lease> leases, int busyAccelerators) {
+
+    /**
+     * Creates a report.
+     *
+     * @throws IllegalArgumentException if a value is missing
+     */
+    public WorkerReport {
+        Checks.notNull("worker", worker);
+        leases = List.copyOf(Checks.notNull("leases", leases));
+    }
+}
--- /dev/null
+++ b/core/src/main/java/io/cardamomshelf/core/request/ClaimTable.java
@@ -0,0 +1,85 @@
+package io.cardamomshelf.core.request;
+
+import io.cardamomshelf.core.base.Checks;
+import io.cardamomshelf.core.base.OrganisationId;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Optional;
+
+/**
+ * The claims of idempotency keys, folded from the log in offset order: the first claim of a key
+ * wins.
+ *
+ * <p>Use: fold all records up to the own claim's offset, then ask {@code winner(organisation,
+ * key)}. An attempt may run only if it is the winner.
+ *
+ * <p>Limits: keeps the given number of keys; the operators choose it above the number of keys
+ * inside the log's retention.
+ *
+ * <p>Not thread-safe: belongs to the instance's event loop.
+ */
+public final class ClaimTable {
+
+    private record ClaimKey(OrganisationId organisation, String key) {}
+
+    private static final int MAX_CAPACITY = 100_000_000;
+
+    private final int capacity;
+    private final Map<ClaimKey, ClaimRecord> claims = new LinkedHashMap<>();
+    private long offset;
+
+    /**
+     * Creates an empty table.
+     *
+     * @param capacity the most keys kept, 1 to 100,000,000
+     */
+    public ClaimTable(int capacity) {
+        this.capacity = (int) Checks.range("capacity", capacity, 1, MAX_CAPACITY);
+    }
+
+    /**
+     * Returns the offset of the last folded record.
+     *
+     * @return the offset, 0 before any
+     */
+    public long offset() {
+        return offset;
+    }
+
+    /**
+     * Folds one record.
+     *
+     * @param recordOffset the record's offset; a record at or below the last one is passed over
+     * @param claim the claim, not null
+     */
+    public void fold(long recordOffset, ClaimRecord claim) {
+        if (recordOffset <= offset) {
+            return;
+        }
+        offset = recordOffset;
+        claims.putIfAbsent(new ClaimKey(claim.organisation(), claim.key()), claim);
+        if (claims.size() > capacity) {
+            claims.remove(claims.keySet().iterator().next());
+        }
+    }
+
+    /**
+     * Moves past a record that can't be read.
+     *
+     * @param recordOffset the record's offset
+     */
+    public void skip(long recordOffset) {
+        offset = Math.max(offset, recordOffset);
+    }
+
+    /**
+     * Returns the claim that holds a key.
+     *
+     * @param organisation whose key, not null
+     * @param key the key, not null
+     * @return the first claim, empty if the key is free
+     */
+    public Optional<ClaimRecord> winner(OrganisationId organisation, String key) {
+        return Optional.ofNullable(claims.get(new ClaimKey(organisation, key)));
+    }
+}
--- /dev/null
+++ b/wire/src/main/java/io/cardamomshelf/wire/package-info.java
@@ -0,0 +1,2 @@
+/** Frames and typed messages between entry instances. */
+package io.cardamomshelf.wire;
