The whole path, thin, as separate processes

Ruled out: one Vert.x with many event loops (every part would need locks; one loop per instance needs none); one logback file with both appenders (an unreferenced appender prints a status before the ready line: two demo runs failed on it).

--- /dev/null
+++ b/cli/src/main/java/io/cardamomshelf/cli/CliMain.java
@@ -0,0 +1,108 @@
+package io.cardamomshelf.cli;
+
+import io.cardamomshelf.platform.FileException;
+import io.cardamomshelf.platform.StrictYaml;
+import io.vertx.core.VertxOptions;
+import io.vertx.mutiny.core.Vertx;
+import java.io.PrintStream;
+import java.nio.file.Path;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Optional;
+import joptsimple.OptionException;
+import joptsimple.OptionParser;
+import joptsimple.OptionSet;
+
+/**
+ * The binary {@code cardamomshelf}: the operators' command.
+ *
+ * <p>Use: {@code cardamomshelf SUBCOMMAND --settings cli.yaml [options]}; {@code cardamomshelf
+ * help} lists the subcommands. Exit codes are in {@code docs/OPERATORS.md}.
+ */
+public final class CliMain {
+
+    private static final List<Command> COMMANDS =
+            List.of(
+                    new ListCommands.Check(),
+                    new ListCommands.Diff(),
+                    new ListCommands.Publish(),
+                    new ListCommands.Show(),
+                    new DataCentreCommand(),
+                    new StatusCommand(),
+                    new CallCommands.Job(),
+                    new CallCommands.Request(),
+                    new TimelineCommand());
+
+    private CliMain() {}
+
+    /**
+     * Runs a subcommand.
+     *
+     * @param args the subcommand and its options
+     */
+    public static void main(String[] args) {
+        System.setProperty("logback.configurationFile", "cardamomshelf-cli-logback.xml");
+        System.exit(run(args, System.out, System.err));
+    }
+
+    /**
+     * Runs a subcommand in-process.
+     *
+     * @param args the subcommand and its options, not null
+     * @param out where results go, not null
+     * @param err where errors go, not null
+     * @return the exit code
+     */
+    public static int run(String[] args, PrintStream out, PrintStream err) {
+        if (args.length == 0 || args[0].equals("help") || args[0].equals("--help")) {
+            COMMANDS.forEach(command -> out.println(help(command)));
+            return ExitCode.OK.number();
+        }
+        Optional<Command> command =
+                COMMANDS.stream().filter(known -> known.name().equals(args[0])).findFirst();
+        if (command.isEmpty()) {
+            err.println("unknown subcommand '" + args[0] + "'; 'help' lists them");
+            return ExitCode.WRONG_INPUT.number();
+        }
+        try {
+            run(command.get(), Arrays.copyOfRange(args, 1, args.length), out);
+            return ExitCode.OK.number();
+        } catch (CliException e) {
+            err.println(e.getMessage());
+            return e.code().number();
+        } catch (OptionException | FileException e) {
+            err.println(e.getMessage());
+            return ExitCode.WRONG_INPUT.number();
+        }
+    }
+
+    private static String help(Command command) {
+        return command.name()
+                + ": "
+                + command.summary()
+                + "\n    cardamomshelf "
+                + command.example();
+    }
+
+    private static void run(Command command, String[] args, PrintStream out)
+            throws CliException, FileException {
+        OptionParser parser = new OptionParser();
+        parser.accepts("settings", "the command's settings").withRequiredArg().required();
+        parser.accepts("json", "print JSON lines");
+        parser.accepts("help", "print this help").forHelp();
+        command.declare(parser);
+        OptionSet options = parser.parse(args);
+        if (options.has("help")) {
+            out.println(help(command));
+            return;
+        }
+        Path file = Path.of((String) options.valueOf("settings"));
+        CliSettings settings = StrictYaml.read(file, CliSettings.class);
+        Vertx vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1));
+        try {
+            command.run(options, new Session(vertx, settings, out, options.has("json")));
+        } finally {
+            vertx.closeAndAwait();
+        }
+    }
+}
--- /dev/null
+++ b/cli/src/main/java/io/cardamomshelf/cli/TimelineCommand.java
@@ -0,0 +1,74 @@
+package io.cardamomshelf.cli;
+
+import io.cardamomshelf.core.event.Event;
+import io.cardamomshelf.platform.Endpoint;
+import io.cardamomshelf.platform.OperatorViews;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import joptsimple.OptionParser;
+import joptsimple.OptionSet;
+
+/** Merges the events of all instances into one time line. */
+final class TimelineCommand implements Command {
+
+    @Override
+    public String name() {
+        return "timeline";
+    }
+
+    @Override
+    public String summary() {
+        return "merges the events of all instances into one time line";
+    }
+
+    @Override
+    public String example() {
+        return "timeline --about j-7f3a";
+    }
+
+    @Override
+    public void declare(OptionParser parser) {
+        parser.accepts("about", "the id of a job, request, edit or worker")
+                .withRequiredArg()
+                .defaultsTo("");
+    }
+
+    @Override
+    public void run(OptionSet options, Session session) throws CliException {
+        String subject = (String) options.valueOf("about");
+        Map<Endpoint, Optional<OperatorViews.Timeline>> answers =
+                session.ask(entry -> session.entries().timeline(entry, subject));
+        List<Event> merged =
+                answers.values().stream()
+                        .flatMap(Optional::stream)
+                        .flatMap(timeline -> timeline.events().stream())
+                        .map(OperatorViews.EventView::toEvent)
+                        .sorted(Event.TIMELINE_ORDER)
+                        .toList();
+        merged.forEach(event -> print(event, session));
+        answers.forEach(
+                (entry, timeline) -> {
+                    if (timeline.isEmpty()) {
+                        session.print("missing: " + entry + " doesn't answer");
+                    }
+                });
+    }
+
+    private static void print(Event event, Session session) {
+        if (session.isJson()) {
+            session.printJson(OperatorViews.EventView.of(event));
+            return;
+        }
+        session.print(
+                String.join(
+                                " ",
+                                event.time().toString(),
+                                event.instance().value(),
+                                event.type().number() + "",
+                                event.type().name(),
+                                event.subject(),
+                                event.detail())
+                        .trim());
+    }
+}
--- a/core/src/main/java/io/cardamomshelf/core/fleet/CellIndex.java
+++ b/core/src/main/java/io/cardamomshelf/core/fleet/CellIndex.java
@@ -10,6 +10,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.function.ToLongFunction;
 
 /**
  * The available cells of one data centre, indexed so that a search doesn't grow with the fleet.
@@ -28,6 +29,8 @@
     /** The number of levels: blocks of 1 to 512 accelerators. */
     public static final int LEVELS = 10;
 
+    private static final Demand NOTHING = new Demand(1, Adjacency.WORKER, 0, 0);
+
     private record RackKey(String rack, int top) {}
 
     private final DataCentreId dataCentre;
@@ -127,8 +130,18 @@
         placement.slices().forEach(slice -> change(slice, demand, -1));
     }
 
-    void give(Placement placement, Demand demand) {
-        placement.slices().forEach(slice -> change(slice, demand, 1));
+    /** Gives cells back, but for the accelerators that {@code kept} names as another job's. */
+    void give(Placement placement, Demand demand, ToLongFunction<WorkerId> kept) {
+        for (Slice slice : placement.slices()) {
+            change(slice, demand, 1);
+            WorkerCells cells = workers.get(slice.worker());
+            long others = kept.applyAsLong(slice.worker()) & slice.mask();
+            if (cells != null && others != 0) {
+                unlink(cells);
+                cells.change(new Slice(slice.worker(), others), NOTHING, -1);
+                link(cells);
+            }
+        }
     }
 
     private void change(Slice slice, Demand demand, int sign) {
--- a/core/src/main/java/io/cardamomshelf/core/fleet/Fleet.java
+++ b/core/src/main/java/io/cardamomshelf/core/fleet/Fleet.java
@@ -12,6 +12,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.TreeMap;
 
 /**
  * The workers that an instance decides for, what is allocated on them, and the indexes over both.
@@ -38,7 +39,7 @@
         }
     }
 
-    private final Map<DataCentreId, Cells> dataCentres = new LinkedHashMap<>();
+    private final Map<DataCentreId, Cells> dataCentres = new TreeMap<>();
     private final Map<WorkerId, Worker> workers = new LinkedHashMap<>();
     private final Map<JobId, Allocation> allocations = new LinkedHashMap<>();
     private final Map<WorkerId, Set<JobId>> jobsByWorker = new HashMap<>();
@@ -119,14 +120,16 @@
             return Optional.empty();
         }
         used.merge(allocation.organisation(), -allocation.demand().accelerators(), Integer::sum);
-        Cells cells = cells(allocation);
-        cells.free.give(allocation.placement(), allocation.demand());
-        if (allocation.guaranteed()) {
-            cells.reclaimable.give(allocation.placement(), allocation.demand());
-        }
         for (Slice slice : allocation.placement().slices()) {
             jobsByWorker.get(slice.worker()).remove(job);
         }
+        Cells cells = cells(allocation);
+        cells.free.give(
+                allocation.placement(), allocation.demand(), worker -> heldOn(worker, false));
+        if (allocation.guaranteed()) {
+            cells.reclaimable.give(
+                    allocation.placement(), allocation.demand(), worker -> heldOn(worker, true));
+        }
         return Optional.of(allocation);
     }
 
@@ -239,6 +242,17 @@
         return dataCentres.computeIfAbsent(dataCentre, Cells::new);
     }
 
+    /** Two owners may hold overlapping cells on the books until a worker has refused one. */
+    private long heldOn(WorkerId worker, boolean guaranteedOnly) {
+        return jobsOn(worker).stream()
+                .map(allocations::get)
+                .filter(other -> other.guaranteed() || !guaranteedOnly)
+                .flatMap(other -> other.placement().slices().stream())
+                .filter(slice -> slice.worker().equals(worker))
+                .mapToLong(Slice::mask)
+                .reduce(0, (left, right) -> left | right);
+    }
+
     private void takeOn(Cells cells, Allocation allocation, WorkerId worker) {
         Placement part =
                 new Placement(
--- /dev/null
+++ b/core/src/main/java/io/cardamomshelf/core/lease/Tokens.java
@@ -0,0 +1,34 @@
+package io.cardamomshelf.core.lease;
+
+import io.cardamomshelf.core.base.Checks;
+
+/**
+ * Makes fencing tokens: the offset of the log record that named the owner, then the owner's
+ * attempt.
+ *
+ * <p>Use: {@code Tokens.of(job.ownerOffset(), attempt)}. Tokens rise with each takeover and, under
+ * one owner, with each attempt, so that a late step of an earlier attempt is refused.
+ *
+ * <p>Stateless and thread-safe.
+ */
+public final class Tokens {
+
+    private static final int ATTEMPT_BITS = 20;
+    private static final int MAX_ATTEMPT = (1 << ATTEMPT_BITS) - 1;
+
+    private Tokens() {}
+
+    /**
+     * Makes a token.
+     *
+     * @param ownerOffset the offset of the record that named the owner, above 0
+     * @param attempt the owner's attempt at the gang, 0 to 1,048,575
+     * @return the token, above 0
+     * @throws IllegalArgumentException if a value is out of range
+     */
+    public static long of(long ownerOffset, int attempt) {
+        Checks.range("ownerOffset", ownerOffset, 1, Long.MAX_VALUE >> ATTEMPT_BITS);
+        Checks.range("attempt", attempt, 0, MAX_ATTEMPT);
+        return ownerOffset << ATTEMPT_BITS | attempt;
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/io/cardamomshelf/entry/ClaimLog.java
@@ -0,0 +1,85 @@
+package io.cardamomshelf.entry;
+
+import io.cardamomshelf.core.event.EventType;
+import io.cardamomshelf.core.request.ClaimRecord;
+import io.cardamomshelf.core.request.ClaimTable;
+import io.cardamomshelf.platform.FormatException;
+import io.cardamomshelf.platform.Json;
+import io.cardamomshelf.platform.LogClient;
+import io.cardamomshelf.platform.LogPage;
+import io.smallrye.mutiny.Uni;
+import io.smallrye.mutiny.subscription.UniEmitter;
+import io.vertx.mutiny.core.Vertx;
+import java.util.ArrayList;
+import java.util.List;
+
+/**
+ * Keeps the table of claimed idempotency keys in step with the log, and claims keys.
+ *
+ * <p>Not thread-safe: belongs to the instance's event loop.
+ */
+final class ClaimLog {
+
+    private static final int KEYS_KEPT = 500_000;
+
+    private record Waiter(long offset, UniEmitter<? super Void> emitter) {}
+
+    private final LogClient log;
+    private final Events events;
+    private final ClaimTable table = new ClaimTable(KEYS_KEPT);
+    private final StreamFollower follower;
+    private final List<Waiter> waiters = new ArrayList<>();
+
+    ClaimLog(Vertx vertx, LogClient log, Events events) {
+        this.log = log;
+        this.events = events;
+        this.follower =
+                new StreamFollower(vertx, log, LogClient.CLAIMS, table::offset, this::apply);
+    }
+
+    void start() {
+        follower.start();
+    }
+
+    void stop() {
+        follower.stop();
+    }
+
+    ClaimTable table() {
+        return table;
+    }
+
+    /**
+     * Claims a key and folds the stream up to the claim.
+     *
+     * @return the claim that holds the key, which may be another's; fails if the claim's record may
+     *     or may not be in the log, and then nothing may run
+     */
+    Uni<ClaimRecord> claim(ClaimRecord claim) {
+        return log.append(LogClient.CLAIMS, Json.write(claim))
+                .chain(this::folded)
+                .map(done -> table.winner(claim.organisation(), claim.key()).orElseThrow());
+    }
+
+    private Uni<Void> folded(long offset) {
+        if (table.offset() >= offset) {
+            return Uni.createFrom().voidItem();
+        }
+        return Uni.createFrom().emitter(emitter -> waiters.add(new Waiter(offset, emitter)));
+    }
+
+    private void apply(LogPage page) {
+        for (LogPage.LogRecord record : page.records()) {
+            try {
+                table.fold(record.offset(), Json.read(record.body(), ClaimRecord.class));
+            } catch (FormatException e) {
+                table.skip(record.offset());
+                events.publish(EventType.RECORD_SKIPPED, "claims", "offset " + record.offset());
+            }
+        }
+        List<Waiter> due =
+                waiters.stream().filter(waiter -> waiter.offset() <= table.offset()).toList();
+        waiters.removeAll(due);
+        due.forEach(waiter -> waiter.emitter().complete(null));
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/io/cardamomshelf/entry/FleetFollower.java
@@ -0,0 +1,196 @@
+package io.cardamomshelf.entry;
+
+import io.cardamomshelf.core.base.JobId;
+import io.cardamomshelf.core.base.WorkerId;
+import io.cardamomshelf.core.event.EventType;
+import io.cardamomshelf.core.fleet.Allocation;
+import io.cardamomshelf.core.fleet.Placement;
+import io.cardamomshelf.core.fleet.Slice;
+import io.cardamomshelf.core.job.Books;
+import io.cardamomshelf.core.lease.GangNote;
+import io.cardamomshelf.core.lease.GangTable;
+import io.cardamomshelf.core.lease.Lease;
+import io.cardamomshelf.core.lease.WorkerReport;
+import io.cardamomshelf.core.membership.Instance;
+import io.cardamomshelf.platform.Endpoint;
+import io.cardamomshelf.platform.WorkerClient;
+import io.cardamomshelf.platform.WorkerCommand;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Function;
+
+/**
+ * Keeps the books in step with the workers' reports, and renews the leases of running gangs.
+ *
+ * <p>Not thread-safe: belongs to the instance's event loop.
+ */
+final class FleetFollower {
+
+    /** How long a running member's lease lasts after a renewal. */
+    static final long RUN_TTL_MILLIS = 10_000;
+
+    /** How old a report may be to count as fresh. */
+    static final long FRESH_MILLIS = 3_000;
+
+    /** Tells whether a report may show a job's cells as they were before this instance's change. */
+    interface Changing {
+        boolean test(JobId job, long sentMillis);
+    }
+
+    private static final class Seen {
+        private final WorkerReport report;
+        private final long polledMillis;
+
+        Seen(WorkerReport report, long polledMillis) {
+            this.report = report;
+            this.polledMillis = polledMillis;
+        }
+    }
+
+    private final Members members;
+    private final WorkerClient client;
+    private final Books books;
+    private final Events events;
+    private final Changing changing;
+    private final Function<WorkerId, List<WorkerCommand.Renewal>> renewals;
+    private final Map<WorkerId, Seen> seen = new HashMap<>();
+    private final Set<WorkerId> polling = new HashSet<>();
+
+    /**
+     * Creates a follower.
+     *
+     * @param changing tells the jobs whose cells this instance is changing itself
+     * @param renewals gives the leases to renew on a worker
+     */
+    FleetFollower(
+            Members members,
+            WorkerClient client,
+            Books books,
+            Events events,
+            Changing changing,
+            Function<WorkerId, List<WorkerCommand.Renewal>> renewals) {
+        this.members = members;
+        this.client = client;
+        this.books = books;
+        this.events = events;
+        this.changing = changing;
+        this.renewals = renewals;
+    }
+
+    /** Polls every listed worker that isn't being polled, and drops those that are gone. */
+    void tick() {
+        for (Instance worker : members.workers()) {
+            WorkerId id = WorkerId.of(worker.id());
+            if (polling.add(id)) {
+                poll(id, new Endpoint(worker.host(), worker.port()));
+            }
+        }
+        long horizon = Clock.millis() - FRESH_MILLIS;
+        seen.forEach(
+                (id, last) -> {
+                    if (last.polledMillis < horizon && books.fleet().remove(id)) {
+                        events.publish(EventType.WORKER_LOST, id.value(), "");
+                    }
+                });
+    }
+
+    /** Returns what is seen of each member of a gang by reports asked for after a time. */
+    List<GangTable.Member> sight(JobId job, Placement placement, long sinceMillis) {
+        long now = Clock.millis();
+        List<GangTable.Member> sights = new ArrayList<>();
+        for (Slice slice : placement.slices()) {
+            Seen last = seen.get(slice.worker());
+            sights.add(
+                    new GangTable.Member(
+                            slice.worker(), sight(last, now, sinceMillis), lease(last, job)));
+        }
+        return sights;
+    }
+
+    /** Returns the token under which a gang's members were last reported, 1 if none was. */
+    long token(JobId job, Placement placement) {
+        return placement.slices().stream()
+                .map(slice -> lease(seen.get(slice.worker()), job))
+                .flatMap(Optional::stream)
+                .mapToLong(Lease::token)
+                .max()
+                .orElse(1);
+    }
+
+    private static GangTable.Sight sight(Seen last, long now, long sinceMillis) {
+        if (last == null || now - last.polledMillis > RUN_TTL_MILLIS + FRESH_MILLIS) {
+            return GangTable.Sight.GONE;
+        }
+        boolean stale = now - last.polledMillis > FRESH_MILLIS || last.polledMillis <= sinceMillis;
+        return stale ? GangTable.Sight.STALE : GangTable.Sight.FRESH;
+    }
+
+    private static Optional<Lease> lease(Seen last, JobId job) {
+        return last == null
+                ? Optional.empty()
+                : last.report.leases().stream().filter(l -> l.job().equals(job)).findFirst();
+    }
+
+    private void poll(WorkerId id, Endpoint endpoint) {
+        Seen last = seen.get(id);
+        long since = last == null ? 0 : last.report.version();
+        long sentMillis = Clock.millis();
+        client.poll(endpoint, new WorkerCommand.Poll(since, RUN_TTL_MILLIS, renewals.apply(id)))
+                .onTermination()
+                .invoke(() -> polling.remove(id))
+                .subscribe()
+                .with(report -> polled(id, report, sentMillis), failure -> {});
+    }
+
+    private void polled(WorkerId id, Optional<WorkerReport> report, long sentMillis) {
+        Seen last = seen.get(id);
+        WorkerReport current = report.orElseGet(() -> last.report);
+        seen.put(id, new Seen(current, sentMillis));
+        if (books.fleet().put(current.worker())) {
+            events.publish(EventType.WORKER_SEEN, id.value(), "" + current.worker().rack());
+        }
+        if (report.isPresent()) {
+            apply(id, current, sentMillis);
+        }
+    }
+
+    private void apply(WorkerId id, WorkerReport report, long sentMillis) {
+        Set<JobId> reported = new HashSet<>();
+        for (Lease lease : report.leases()) {
+            reported.add(lease.job());
+            if (!changing.test(lease.job(), sentMillis)) {
+                books.allocate(allocation(lease.note()));
+            }
+        }
+        for (JobId job : List.copyOf(books.fleet().jobsOn(id))) {
+            if (!reported.contains(job) && !changing.test(job, sentMillis)) {
+                releaseIfGone(job);
+            }
+        }
+    }
+
+    private void releaseIfGone(JobId job) {
+        Placement placement = books.fleet().allocation(job).orElseThrow().placement();
+        boolean anywhere =
+                sight(job, placement, Long.MIN_VALUE).stream()
+                        .anyMatch(member -> member.lease().isPresent());
+        if (!anywhere) {
+            books.release(job);
+        }
+    }
+
+    private static Allocation allocation(GangNote note) {
+        return new Allocation(
+                note.job(),
+                note.spec().organisation(),
+                note.spec().demand(),
+                note.placement(),
+                note.guaranteed(),
+                Clock.millis());
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/io/cardamomshelf/entry/GangClient.java
@@ -0,0 +1,96 @@
+package io.cardamomshelf.entry;
+
+import io.cardamomshelf.core.base.JobId;
+import io.cardamomshelf.core.base.WorkerId;
+import io.cardamomshelf.core.fleet.Placement;
+import io.cardamomshelf.core.fleet.Slice;
+import io.cardamomshelf.core.lease.GangNote;
+import io.cardamomshelf.core.request.Verdict;
+import io.cardamomshelf.platform.Endpoint;
+import io.cardamomshelf.platform.PlatformException;
+import io.cardamomshelf.platform.WorkerClient;
+import io.cardamomshelf.platform.WorkerCommand;
+import io.smallrye.mutiny.Uni;
+import java.util.List;
+import java.util.function.BiFunction;
+
+/**
+ * Takes a gang through its steps on all members: hold, commit, start, or stop.
+ *
+ * <p>Not thread-safe: belongs to the instance's event loop.
+ */
+final class GangClient {
+
+    /** How long a hold lasts; a holder that was paused longer can't commit or start. */
+    static final long HOLD_TTL_MILLIS = 3_000;
+
+    private static final int RETRIES = 2;
+
+    private final Members members;
+    private final WorkerClient client;
+
+    GangClient(Members members, WorkerClient client) {
+        this.members = members;
+        this.client = client;
+    }
+
+    Uni<Void> hold(GangNote note, long token) {
+        return onAll(
+                note.placement(),
+                (endpoint, slice) ->
+                        client.hold(
+                                endpoint,
+                                new WorkerCommand.Hold(
+                                        note.job(), token, slice.mask(), HOLD_TTL_MILLIS, note)));
+    }
+
+    /** Commits on the lead; a lost answer is asked for again, which the lead answers the same. */
+    Uni<Void> commit(JobId job, Placement placement, long token) {
+        WorkerCommand.Step step = new WorkerCommand.Step(job, token, HOLD_TTL_MILLIS);
+        return on(
+                placement.lead().worker(),
+                endpoint -> client.commit(endpoint, step).onFailure().retry().atMost(RETRIES));
+    }
+
+    Uni<Void> start(JobId job, Placement placement, long token) {
+        WorkerCommand.Step step = new WorkerCommand.Step(job, token, FleetFollower.RUN_TTL_MILLIS);
+        return onAll(
+                placement,
+                (endpoint, slice) ->
+                        client.start(endpoint, step).onFailure().retry().atMost(RETRIES));
+    }
+
+    /** Stops on all members; one that can't be reached lets its lease lapse. */
+    Uni<Void> stop(JobId job, Placement placement, long token) {
+        WorkerCommand.Step step = new WorkerCommand.Step(job, token, 0);
+        return onAll(
+                placement,
+                (endpoint, slice) ->
+                        client.stop(endpoint, step)
+                                .onFailure()
+                                .retry()
+                                .atMost(RETRIES)
+                                .onFailure()
+                                .recoverWithNull());
+    }
+
+    private Uni<Void> onAll(Placement placement, BiFunction<Endpoint, Slice, Uni<Void>> call) {
+        List<Uni<Void>> calls =
+                placement.slices().stream()
+                        .map(slice -> on(slice.worker(), endpoint -> call.apply(endpoint, slice)))
+                        .toList();
+        return Uni.join().all(calls).andCollectFailures().replaceWithVoid();
+    }
+
+    private Uni<Void> on(WorkerId worker, java.util.function.Function<Endpoint, Uni<Void>> call) {
+        return members.endpoint(worker)
+                .map(call)
+                .orElseGet(
+                        () ->
+                                Uni.createFrom()
+                                        .failure(
+                                                new PlatformException(
+                                                        Verdict.NOT_RUN,
+                                                        "worker " + worker + " isn't listed")));
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/io/cardamomshelf/entry/JobLog.java
@@ -0,0 +1,54 @@
+package io.cardamomshelf.entry;
+
+import io.cardamomshelf.core.event.EventType;
+import io.cardamomshelf.core.job.JobRecord;
+import io.cardamomshelf.core.job.JobTable;
+import io.cardamomshelf.platform.FormatException;
+import io.cardamomshelf.platform.Json;
+import io.cardamomshelf.platform.LogClient;
+import io.cardamomshelf.platform.LogPage;
+import io.smallrye.mutiny.Uni;
+import io.vertx.mutiny.core.Vertx;
+
+/**
+ * Keeps the table of jobs in step with the log, and appends to it.
+ *
+ * <p>Not thread-safe: belongs to the instance's event loop.
+ */
+final class JobLog {
+
+    private final LogClient log;
+    private final JobTable table;
+    private final Events events;
+    private final StreamFollower follower;
+
+    JobLog(Vertx vertx, LogClient log, JobTable table, Events events) {
+        this.log = log;
+        this.table = table;
+        this.events = events;
+        this.follower = new StreamFollower(vertx, log, LogClient.JOBS, table::offset, this::apply);
+    }
+
+    void start() {
+        follower.start();
+    }
+
+    void stop() {
+        follower.stop();
+    }
+
+    Uni<Long> append(JobRecord record) {
+        return log.append(LogClient.JOBS, Json.write(record));
+    }
+
+    private void apply(LogPage page) {
+        for (LogPage.LogRecord record : page.records()) {
+            try {
+                table.fold(record.offset(), Json.read(record.body(), JobRecord.class));
+            } catch (FormatException e) {
+                table.skip(record.offset());
+                events.publish(EventType.RECORD_SKIPPED, "jobs", "offset " + record.offset());
+            }
+        }
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/io/cardamomshelf/entry/JobRunner.java
@@ -0,0 +1,340 @@
+package io.cardamomshelf.entry;
+
+import io.cardamomshelf.core.base.DataCentreId;
+import io.cardamomshelf.core.base.JobId;
+import io.cardamomshelf.core.base.WorkerId;
+import io.cardamomshelf.core.event.EventType;
+import io.cardamomshelf.core.fleet.Allocation;
+import io.cardamomshelf.core.job.Books;
+import io.cardamomshelf.core.job.Decision;
+import io.cardamomshelf.core.job.JobQueue;
+import io.cardamomshelf.core.job.JobRecord;
+import io.cardamomshelf.core.job.JobTable;
+import io.cardamomshelf.core.job.Placer;
+import io.cardamomshelf.core.lease.GangAction;
+import io.cardamomshelf.core.lease.GangNote;
+import io.cardamomshelf.core.lease.GangTable;
+import io.cardamomshelf.core.lease.Lease;
+import io.cardamomshelf.core.lease.LeaseState;
+import io.cardamomshelf.core.lease.Tokens;
+import io.cardamomshelf.platform.WorkerCommand;
+import io.smallrye.mutiny.Uni;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Predicate;
+
+/**
+ * Runs the jobs that this instance owns: places them, takes each gang through its steps, and acts
+ * on what the workers report by {@link GangTable}.
+ *
+ * <p>Not thread-safe: belongs to the instance's event loop.
+ */
+final class JobRunner {
+
+    private static final int MAX_FAILURES = 3;
+
+    private final Self self;
+    private final JobTable table;
+    private final Books books;
+    private final GangClient gangs;
+    private final JobLog log;
+    private final Events events;
+    private final Predicate<DataCentreId> startable;
+    private final Map<JobId, Integer> attempts = new HashMap<>();
+    private final Map<JobId, String> waits = new HashMap<>();
+    private final Set<JobId> busy = new HashSet<>();
+    private final Map<JobId, Long> changedMillis = new HashMap<>();
+    private final Set<JobId> whole = new HashSet<>();
+    private final Map<JobId, Integer> failures = new HashMap<>();
+    private FleetFollower fleet;
+    private boolean leaving;
+
+    JobRunner(
+            Self self,
+            JobTable table,
+            Books books,
+            GangClient gangs,
+            JobLog log,
+            Events events,
+            Predicate<DataCentreId> startable) {
+        this.self = self;
+        this.table = table;
+        this.books = books;
+        this.gangs = gangs;
+        this.log = log;
+        this.events = events;
+        this.startable = startable;
+    }
+
+    void follow(FleetFollower follower) {
+        fleet = follower;
+    }
+
+    void leave() {
+        leaving = true;
+    }
+
+    /** Asks whether a report asked for at a time may show the job's cells before a change. */
+    boolean isChanging(JobId job, long sentMillis) {
+        return busy.contains(job) || changedMillis.getOrDefault(job, Long.MIN_VALUE) >= sentMillis;
+    }
+
+    /** Asks whether this instance is taking a job's gang through its steps. */
+    boolean isStarting(JobId job) {
+        return busy.contains(job);
+    }
+
+    /** Asks whether no gang is between its first hold and its start, or being ended. */
+    boolean isIdle() {
+        return busy.isEmpty();
+    }
+
+    /** Returns why a job waits, empty if it doesn't or another instance owns it. */
+    String waitReason(JobId job) {
+        return waits.getOrDefault(job, "");
+    }
+
+    /** Returns the leases to renew on a worker: those of own gangs that were seen to run whole. */
+    List<WorkerCommand.Renewal> renewals(WorkerId worker) {
+        List<WorkerCommand.Renewal> renewals = new ArrayList<>();
+        for (JobId id : books.fleet().jobsOn(worker)) {
+            owned(id)
+                    .filter(job -> whole.contains(id))
+                    .ifPresent(job -> renewals.add(new WorkerCommand.Renewal(id, token(job))));
+        }
+        return renewals;
+    }
+
+    /** One round: looks after every gang that has cells, then places what waits. */
+    void tick() {
+        List<JobTable.Job> waiting = new ArrayList<>();
+        for (JobTable.Job job : table.open()) {
+            if (!job.owner().equals(self.run()) || busy.contains(job.id())) {
+                continue;
+            }
+            Optional<Allocation> cells = books.fleet().allocation(job.id());
+            if (cells.isPresent()) {
+                lookAfter(job, cells.get());
+            } else if (job.cancelled()) {
+                end(job, JobRecord.Result.CANCELLED, "cancelled before it ran");
+            } else if (!leaving) {
+                waiting.add(job);
+            }
+        }
+        place(waiting);
+        for (Map<JobId, ?> memory : List.of(attempts, waits, changedMillis, failures)) {
+            memory.keySet().removeIf(this::isEnded);
+        }
+        whole.removeIf(this::isEnded);
+    }
+
+    private boolean isEnded(JobId id) {
+        return table.job(id).map(job -> job.end().isPresent()).orElse(true);
+    }
+
+    private void place(List<JobTable.Job> waiting) {
+        Placer placer = books.placer(startable);
+        for (JobTable.Job job : JobQueue.order(waiting, books)) {
+            if (busy.contains(job.id())) {
+                continue;
+            }
+            Decision decision = placer.decide(job.id(), job.spec(), Clock.millis());
+            if (decision instanceof Decision.Place place) {
+                runOrWait(job, place);
+            } else if (decision instanceof Decision.Never never) {
+                // A worker may be away for now; what was accepted waits for its return.
+                waits(job, never.why());
+            } else if (decision instanceof Decision.Wait wait) {
+                waits(job, wait.why());
+            }
+        }
+    }
+
+    private void waits(JobTable.Job job, String why) {
+        if (!why.equals(waits.put(job.id(), why))) {
+            events.publish(EventType.JOB_WAITING, job.id().value(), why);
+        }
+    }
+
+    private void runOrWait(JobTable.Job job, Decision.Place place) {
+        boolean changing = place.victims().stream().anyMatch(victim -> busy.contains(victim.job()));
+        if (changing) {
+            waits(job, "a job that must make room is changing");
+        } else {
+            run(job, place);
+        }
+    }
+
+    private void run(JobTable.Job job, Decision.Place place) {
+        JobId id = job.id();
+        Allocation made = place.allocation();
+        int attempt = attempts.merge(id, 1, Integer::sum);
+        long token = Tokens.of(job.ownerOffset(), attempt);
+        GangNote note = new GangNote(id, job.spec(), made.placement(), made.guaranteed());
+        busy.add(id);
+        waits.remove(id);
+        List<Uni<Void>> evictions = place.victims().stream().map(v -> evict(v, id)).toList();
+        books.allocate(made);
+        events.publish(EventType.JOB_PLACED, id.value(), describe(made));
+        Uni<Void> room =
+                evictions.isEmpty()
+                        ? Uni.createFrom().voidItem()
+                        : Uni.join().all(evictions).andCollectFailures().replaceWithVoid();
+        room.chain(() -> gangs.hold(note, token))
+                .invoke(() -> events.publish(EventType.GANG_HELD, id.value(), ""))
+                .chain(() -> gangs.commit(id, made.placement(), token))
+                .invoke(() -> events.publish(EventType.GANG_COMMITTED, id.value(), ""))
+                .chain(() -> startIfAllowed(id, made, token))
+                .subscribe()
+                .with(
+                        done -> started(id),
+                        failure -> abort(id, made, token, String.valueOf(failure.getMessage())));
+    }
+
+    /**
+     * The configuration may have changed since the placement; a start is never made on an old one.
+     */
+    private Uni<Void> startIfAllowed(JobId id, Allocation made, long token) {
+        DataCentreId site = made.placement().dataCentre();
+        boolean allowed =
+                startable.test(site) && books.config().isGranted(made.organisation(), site);
+        return allowed
+                ? gangs.start(id, made.placement(), token)
+                : Uni.createFrom()
+                        .failure(new IllegalStateException(site + " may start nothing now"));
+    }
+
+    private void started(JobId id) {
+        settle(id);
+        events.publish(EventType.GANG_STARTED, id.value(), "");
+    }
+
+    private void abort(JobId id, Allocation made, long token, String why) {
+        events.publish(EventType.GANG_ABORTED, id.value(), why);
+        gangs.stop(id, made.placement(), token)
+                .onTermination()
+                .invoke(
+                        () -> {
+                            books.release(id);
+                            settle(id);
+                        })
+                .subscribe()
+                .with(done -> {}, failure -> {});
+    }
+
+    /** Stops a borrowed job for a guaranteed one; its owner queues it again. */
+    private Uni<Void> evict(Allocation victim, JobId claimant) {
+        events.publish(EventType.JOB_RECLAIMED, victim.job().value(), claimant.value(), "");
+        long token = fleet.token(victim.job(), victim.placement());
+        books.release(victim.job());
+        changedMillis.put(victim.job(), Clock.millis());
+        return gangs.stop(victim.job(), victim.placement(), token);
+    }
+
+    private void lookAfter(JobTable.Job job, Allocation cells) {
+        long since = changedMillis.getOrDefault(job.id(), Long.MIN_VALUE);
+        List<GangTable.Member> members = fleet.sight(job.id(), cells.placement(), since);
+        if (job.cancelled()) {
+            finish(job, cells, JobRecord.Result.CANCELLED, "cancelled while it ran");
+            return;
+        }
+        GangAction action = GangTable.decide(job.id(), cells.placement(), members);
+        if (action == GangAction.RENEW) {
+            whole.add(job.id());
+            return;
+        }
+        switch (action) {
+            case START -> resume(job, cells);
+            case FINISH -> finish(job, cells, JobRecord.Result.SUCCEEDED, "");
+            case STOP -> stop(job, cells, members);
+            default -> {}
+        }
+    }
+
+    private void resume(JobTable.Job job, Allocation cells) {
+        busy.add(job.id());
+        long token = token(job);
+        startIfAllowed(job.id(), cells, token)
+                .subscribe()
+                .with(
+                        done -> started(job.id()),
+                        failure -> abort(job.id(), cells, token, failure.getMessage()));
+    }
+
+    private void stop(JobTable.Job job, Allocation cells, List<GangTable.Member> members) {
+        boolean failed =
+                members.stream()
+                        .flatMap(member -> member.lease().stream())
+                        .map(Lease::state)
+                        .anyMatch(LeaseState.FAILED::equals);
+        if (failed && failures.merge(job.id(), 1, Integer::sum) >= MAX_FAILURES) {
+            finish(
+                    job,
+                    cells,
+                    JobRecord.Result.FAILED,
+                    "members failed " + MAX_FAILURES + " times");
+            return;
+        }
+        busy.add(job.id());
+        abort(job.id(), cells, token(job), failed ? "a member failed" : "a member was lost");
+    }
+
+    private void finish(
+            JobTable.Job job, Allocation cells, JobRecord.Result result, String detail) {
+        busy.add(job.id());
+        log.append(new JobRecord.Ended(job.id(), result, detail))
+                .chain(() -> gangs.stop(job.id(), cells.placement(), token(job)))
+                .onTermination()
+                .invoke(() -> settle(job.id()))
+                .subscribe()
+                .with(
+                        done -> {
+                            books.release(job.id());
+                            EventType type =
+                                    result == JobRecord.Result.CANCELLED
+                                            ? EventType.JOB_CANCELLED
+                                            : EventType.JOB_ENDED;
+                            events.publish(type, job.id().value(), result + " " + detail);
+                        },
+                        failure -> {});
+    }
+
+    private void end(JobTable.Job job, JobRecord.Result result, String detail) {
+        busy.add(job.id());
+        log.append(new JobRecord.Ended(job.id(), result, detail))
+                .onTermination()
+                .invoke(() -> settle(job.id()))
+                .subscribe()
+                .with(
+                        done -> events.publish(EventType.JOB_CANCELLED, job.id().value(), detail),
+                        failure -> {});
+    }
+
+    private void settle(JobId id) {
+        busy.remove(id);
+        whole.remove(id);
+        changedMillis.put(id, Clock.millis());
+    }
+
+    private Optional<JobTable.Job> owned(JobId id) {
+        return table.job(id).filter(job -> job.owner().equals(self.run()));
+    }
+
+    private long token(JobTable.Job job) {
+        return Tokens.of(job.ownerOffset(), attempts.getOrDefault(job.id(), 0));
+    }
+
+    private static String describe(Allocation made) {
+        return made.placement().accelerators()
+                + " accelerators on "
+                + made.placement().slices().size()
+                + " workers in "
+                + made.placement().dataCentre()
+                + (made.guaranteed() ? ", guaranteed" : ", borrowed");
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/io/cardamomshelf/entry/OperatorsApi.java
@@ -0,0 +1,137 @@
+package io.cardamomshelf.entry;
+
+import com.codahale.metrics.MetricRegistry;
+import io.cardamomshelf.core.base.DataCentreId;
+import io.cardamomshelf.core.event.Event;
+import io.cardamomshelf.core.job.Books;
+import io.cardamomshelf.core.request.Upstream;
+import io.cardamomshelf.core.request.UpstreamChooser;
+import io.cardamomshelf.platform.Json;
+import io.cardamomshelf.platform.OperatorViews;
+import io.prometheus.client.CollectorRegistry;
+import io.prometheus.client.dropwizard.DropwizardExports;
+import io.prometheus.client.exporter.common.TextFormat;
+import io.vertx.mutiny.core.Vertx;
+import io.vertx.mutiny.ext.web.Router;
+import io.vertx.mutiny.ext.web.RoutingContext;
+import java.io.IOException;
+import java.io.StringWriter;
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.util.ArrayList;
+import java.util.List;
+
+/**
+ * The operators' HTTP interface, on a listener of its own: time line, status, metrics.
+ *
+ * <p>Every path wants the operators' token, which is compared in constant time and never logged.
+ *
+ * <p>Not thread-safe: belongs to the instance's event loop.
+ */
+final class OperatorsApi {
+
+    private static final int UNAUTHORIZED = 401;
+    private static final String BEARER = "Bearer ";
+
+    private final Vertx vertx;
+    private final Self self;
+    private final String token;
+    private final Events events;
+    private final ConfigFollower config;
+    private final Books books;
+    private final UpstreamChooser chooser;
+    private final CollectorRegistry metrics = new CollectorRegistry();
+
+    OperatorsApi(
+            Vertx vertx,
+            Self self,
+            String token,
+            Events events,
+            ConfigFollower config,
+            Books books,
+            UpstreamChooser chooser,
+            MetricRegistry registry) {
+        this.vertx = vertx;
+        this.self = self;
+        this.token = token;
+        this.events = events;
+        this.config = config;
+        this.books = books;
+        this.chooser = chooser;
+        new DropwizardExports(registry).register(metrics);
+    }
+
+    Router router() {
+        Router router = Router.router(vertx);
+        router.route().handler(this::authorize);
+        router.get("/v1/timeline").handler(this::timeline);
+        router.get("/v1/status").handler(context -> send(context, status()));
+        router.get("/metrics").handler(this::metrics);
+        return router;
+    }
+
+    private void authorize(RoutingContext context) {
+        String header = String.valueOf(context.request().getHeader("Authorization"));
+        boolean equal =
+                MessageDigest.isEqual(
+                        header.getBytes(StandardCharsets.UTF_8),
+                        (BEARER + token).getBytes(StandardCharsets.UTF_8));
+        if (equal) {
+            context.next();
+        } else {
+            context.response().setStatusCode(UNAUTHORIZED);
+            context.endAndForget("the operators' token is missing or wrong");
+        }
+    }
+
+    private void timeline(RoutingContext context) {
+        String subject = context.request().getParam("subject");
+        List<Event> found = events.select(event -> subject == null || event.isAbout(subject));
+        List<OperatorViews.EventView> views =
+                found.stream().map(OperatorViews.EventView::of).toList();
+        send(context, new OperatorViews.Timeline(self.run(), events.dropped(), views));
+    }
+
+    private OperatorViews.Status status() {
+        List<OperatorViews.DataCentreView> sites = new ArrayList<>();
+        for (DataCentreId site : books.fleet().dataCentres()) {
+            sites.add(
+                    new OperatorViews.DataCentreView(
+                            site,
+                            config.state().isIn(site),
+                            books.fleet().free(site).freeAccelerators(),
+                            books.fleet().reclaimable(site).freeAccelerators(),
+                            books.fleet().all(site).freeAccelerators(),
+                            books.isPackable(site)));
+        }
+        List<String> ejected =
+                chooser.upstreams().stream()
+                        .filter(upstream -> upstream.breaker().isEjected())
+                        .map(Upstream::worker)
+                        .map(Object::toString)
+                        .toList();
+        return new OperatorViews.Status(
+                self.run(),
+                self.dataCentre(),
+                config.state().offset(),
+                config.isReachable(),
+                sites,
+                ejected);
+    }
+
+    private void metrics(RoutingContext context) {
+        StringWriter text = new StringWriter();
+        try {
+            TextFormat.write004(text, metrics.metricFamilySamples());
+        } catch (IOException e) {
+            throw new IllegalStateException("a string writer never fails", e);
+        }
+        context.response().putHeader("Content-Type", TextFormat.CONTENT_TYPE_004);
+        context.endAndForget(text.toString());
+    }
+
+    private static void send(RoutingContext context, Object body) {
+        context.response().putHeader("Content-Type", "application/json");
+        context.endAndForget(Json.write(body));
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/io/cardamomshelf/entry/PeerConnection.java
@@ -0,0 +1,83 @@
+package io.cardamomshelf.entry;
+
+import io.cardamomshelf.core.base.DataCentreId;
+import io.cardamomshelf.core.base.InstanceId;
+import io.cardamomshelf.core.event.EventType;
+import io.cardamomshelf.wire.FrameCodec;
+import io.cardamomshelf.wire.FrameException;
+import io.cardamomshelf.wire.PeerMessage;
+import io.vertx.mutiny.core.buffer.Buffer;
+import io.vertx.mutiny.core.net.NetSocket;
+import java.util.Optional;
+import java.util.function.Consumer;
+
+/**
+ * One connection to or from another entry. A frame that can't be read closes it with an event and
+ * harms nothing else.
+ *
+ * <p>Not thread-safe: belongs to the instance's event loop.
+ */
+final class PeerConnection {
+
+    /** Takes the messages of a connection. */
+    interface Receiver {
+        void receive(PeerConnection from, PeerMessage message) throws FrameException;
+    }
+
+    private final NetSocket socket;
+    private final Events events;
+    private final Receiver receiver;
+    private final FrameCodec codec = new FrameCodec();
+    private InstanceId run;
+    private DataCentreId dataCentre;
+
+    PeerConnection(
+            NetSocket socket, Events events, Receiver receiver, Consumer<PeerConnection> closed) {
+        this.socket = socket;
+        this.events = events;
+        this.receiver = receiver;
+        socket.handler(this::arrive);
+        socket.exceptionHandler(failure -> {});
+        socket.closeHandler(() -> closed.accept(this));
+    }
+
+    void greet(InstanceId otherRun, DataCentreId otherDataCentre) {
+        run = otherRun;
+        dataCentre = otherDataCentre;
+    }
+
+    boolean isRun(InstanceId other) {
+        return other.equals(run);
+    }
+
+    Optional<DataCentreId> dataCentre() {
+        return Optional.ofNullable(dataCentre);
+    }
+
+    void send(PeerMessage message) {
+        try {
+            socket.writeAndForget(Buffer.buffer(codec.encode(message)));
+        } catch (FrameException e) {
+            events.publish(EventType.FRAME_REFUSED, "" + run, "not sent: " + e.getMessage());
+        }
+    }
+
+    void refuse(String why) {
+        events.publish(EventType.FRAME_REFUSED, "" + run, why);
+        close();
+    }
+
+    void close() {
+        socket.closeAndForget();
+    }
+
+    private void arrive(Buffer bytes) {
+        try {
+            for (PeerMessage message : codec.decode(bytes.getBytes())) {
+                receiver.receive(this, message);
+            }
+        } catch (FrameException e) {
+            refuse(e.getMessage());
+        }
+    }
+}
--- a/standin/src/main/java/io/cardamomshelf/standin/StandinMain.java
+++ b/standin/src/main/java/io/cardamomshelf/standin/StandinMain.java
@@ -29,6 +29,7 @@
      * @throws Exception if standard input fails
      */
     public static void main(String[] args) throws Exception {
+        System.setProperty("logback.configurationFile", "cardamomshelf-standin-logback.xml");
         Vertx vertx = Vertx.vertx();
         int port = standin(vertx, args).start(0).await().indefinitely();
         PrintStream out = System.out;
--- a/wire/src/main/java/io/cardamomshelf/wire/PeerMessage.java
+++ b/wire/src/main/java/io/cardamomshelf/wire/PeerMessage.java
@@ -47,12 +47,13 @@
             implements PeerMessage {}
 
     /**
-     * Asks the owner of an idempotency key for the answer of its attempt.
+     * Hands a repeated request to the owner of its idempotency key, who has the answer or runs it.
      *
      * @param query the query's number on this connection
-     * @param attempt the attempt's id, not null
+     * @param attempt the owner's attempt's id, not null
+     * @param request the request's JSON text, not null
      */
-    record AnswerQuery(long query, String attempt) implements PeerMessage {}
+    record AnswerQuery(long query, String attempt, String request) implements PeerMessage {}
 
     /**
      * Answers a query.
