Guaranteed shapes pack after every placement: whole blocks are charged, smallest cells broken first

Ruled out: a fault in the release (the counts after it were right for the cells charged) and in the counting rule itself. Change: racks in classes of one shape, blocks across racks only above the largest rack, findBlock over all kinds of cells by level, allocations carry the whole block, free claims must lie in reclaimable cells. Conclusion: counting decides packing only if taking follows the same hierarchy.

--- a/core/src/main/java/io/cardamomshelf/core/fleet/Allocation.java
+++ b/core/src/main/java/io/cardamomshelf/core/fleet/Allocation.java
@@ -3,6 +3,7 @@
 import io.cardamomshelf.core.base.Checks;
 import io.cardamomshelf.core.base.JobId;
 import io.cardamomshelf.core.base.OrganisationId;
+import java.util.List;
 
 /**
  * A job's cells while it holds them, and whether they count towards a guarantee.
@@ -13,7 +14,8 @@
  * @param organisation whose job it is, not null
  * @param demand what it needs, not null
  * @param placement its cells, not null
- * @param guaranteed true if it claims a guaranteed block, false if it borrows
+ * @param block the whole guaranteed block that it claims, of which it may use a part, not null,
+ *     empty if it borrows
  * @param startedMillis when it was placed, in milliseconds
  */
 public record Allocation(
@@ -21,7 +23,7 @@
         OrganisationId organisation,
         Demand demand,
         Placement placement,
-        boolean guaranteed,
+        List<Slice> block,
         long startedMillis) {
 
     /**
@@ -34,6 +36,26 @@
         Checks.notNull("organisation", organisation);
         Checks.notNull("demand", demand);
         Checks.notNull("placement", placement);
+        block = List.copyOf(Checks.notNull("block", block));
+    }
+
+    /**
+     * Asks whether the job claims a guaranteed block.
+     *
+     * @return true if it does, false if it borrows
+     */
+    public boolean guaranteed() {
+        return !block.isEmpty();
+    }
+
+    /**
+     * Returns the whole guaranteed block as cells.
+     *
+     * @return the cells, never null
+     * @throws IllegalArgumentException if the job borrows
+     */
+    public Placement blockCells() {
+        return new Placement(placement.dataCentre(), block);
     }
 
     /**
--- a/core/src/main/java/io/cardamomshelf/core/fleet/CellIndex.java
+++ b/core/src/main/java/io/cardamomshelf/core/fleet/CellIndex.java
@@ -3,13 +3,15 @@
 import io.cardamomshelf.core.base.DataCentreId;
 import io.cardamomshelf.core.base.WorkerId;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import java.util.TreeMap;
+import java.util.function.Supplier;
+import java.util.function.ToIntFunction;
 import java.util.function.ToLongFunction;
 
 /**
@@ -33,14 +35,18 @@
 
     private record RackKey(String rack, int top) {}
 
+    private record ClassKey(int top, int rackLevel) {}
+
+    private record Candidate(int level, int whole, RackClass racks) {}
+
+    private record Cell(int level, Supplier<Optional<Placement>> search) {}
+
     private final DataCentreId dataCentre;
     private final Map<WorkerId, WorkerCells> workers = new LinkedHashMap<>();
     private final Map<RackKey, RackCells> racks = new LinkedHashMap<>();
     private final List<Set<WorkerCells>> partial = new ArrayList<>();
-    private final List<Map<Integer, Set<RackCells>>> racksByWhole = new ArrayList<>();
+    private final Map<ClassKey, RackClass> classes = new LinkedHashMap<>();
     private final int[] blocks = new int[LEVELS];
-    private long wholeRackAccelerators;
-    private int largestRackLevel;
     private long freeAccelerators;
     private long visited;
 
@@ -48,7 +54,6 @@
         this.dataCentre = dataCentre;
         for (int level = 0; level < LEVELS; level++) {
             partial.add(new LinkedHashSet<>());
-            racksByWhole.add(new TreeMap<>());
         }
     }
 
@@ -59,7 +64,13 @@
      * @return the number, from 0
      */
     public long blocks(int level) {
-        return blocks[level] + blocksOfRacks(level);
+        long count = blocks[level];
+        if (level > largestRackLevel()) {
+            for (RackClass racks : classes.values()) {
+                count += racks.blocks(level);
+            }
+        }
+        return count;
     }
 
     /**
@@ -80,6 +91,42 @@
         return visited;
     }
 
+    /**
+     * Finds the whole block that holds a job: its accelerators rounded up to a power of two. Of all
+     * cells that contain such a block it breaks up the smallest.
+     *
+     * @param demand what the job needs, not null
+     * @return the block's cells, empty if there is no such block; nothing is taken
+     */
+    public Optional<Placement> findBlock(Demand demand) {
+        Demand block =
+                new Demand(
+                        1 << demand.level(),
+                        demand.adjacency(),
+                        demand.coresEach(),
+                        demand.memoryMbEach());
+        List<Cell> cells = new ArrayList<>();
+        for (int level = block.level(); level < LEVELS; level++) {
+            int partialLevel = level;
+            cells.add(new Cell(level, () -> findInPartial(block, partialLevel)));
+        }
+        for (Candidate candidate : candidates(racks -> workersOfBlock(block, racks))) {
+            int need = workersOfBlock(block, candidate.racks());
+            cells.add(new Cell(candidate.level(), () -> findIn(candidate, block, need)));
+        }
+        if (demand.adjacency() == Adjacency.DATA_CENTRE && block.level() > largestRackLevel()) {
+            for (RackClass racks : classes.values()) {
+                int level = brokenLevelOfUnits(racks, block);
+                int workers = racks.unitWorkers();
+                if (level >= 0) {
+                    cells.add(new Cell(level, () -> gather(block, racks, workers)));
+                }
+            }
+        }
+        cells.sort(Comparator.comparingInt(Cell::level));
+        return cells.stream().flatMap(cell -> cell.search().get().stream()).findFirst();
+    }
+
     /**
      * Finds cells for a whole job.
      *
@@ -97,13 +144,27 @@
         return found;
     }
 
+    /**
+     * Asks whether all cells of a placement are available.
+     *
+     * @param cells the cells, not null
+     * @return true if they are
+     */
+    public boolean isAvailable(Placement cells) {
+        return cells.slices().stream().allMatch(this::isAvailable);
+    }
+
+    private boolean isAvailable(Slice slice) {
+        WorkerCells cells = workers.get(slice.worker());
+        return cells != null && (cells.mask() & slice.mask()) == slice.mask();
+    }
+
     void put(Worker worker) {
         RackKey key = new RackKey(worker.rack(), WorkerCells.topLevel(worker));
         RackCells rack = racks.computeIfAbsent(key, any -> new RackCells(key.top()));
         WorkerCells cells = new WorkerCells(worker, rack);
         unlinkRack(rack);
         rack.resize(1);
-        largestRackLevel = Math.max(largestRackLevel, rack.topLevel());
         linkRack(rack);
         workers.put(worker.id(), cells);
         link(cells);
@@ -118,14 +179,6 @@
         linkRack(rack);
     }
 
-    boolean isKnown(WorkerId worker) {
-        return workers.containsKey(worker);
-    }
-
-    long mask(WorkerId worker) {
-        return workers.get(worker).mask();
-    }
-
     void take(Placement placement, Demand demand) {
         placement.slices().forEach(slice -> change(slice, demand, -1));
     }
@@ -189,49 +242,61 @@
 
     private void linkRack(RackCells rack) {
         countRack(rack, 1);
-        racksByWhole
-                .get(rack.top())
-                .computeIfAbsent(rack.whole().size(), any -> new LinkedHashSet<>())
-                .add(rack);
+        classOf(rack).add(rack);
     }
 
     private void unlinkRack(RackCells rack) {
-        Set<RackCells> bucket = racksByWhole.get(rack.top()).get(rack.whole().size());
-        if (bucket != null && bucket.remove(rack)) {
+        if (classOf(rack).remove(rack)) {
             countRack(rack, -1);
         }
     }
 
+    private RackClass classOf(RackCells rack) {
+        ClassKey key = new ClassKey(rack.top(), rack.topLevel());
+        return classes.computeIfAbsent(key, any -> new RackClass(key.top(), key.rackLevel()));
+    }
+
     private void countRack(RackCells rack, int sign) {
         for (int level = rack.top() + 1; level <= rack.topLevel() && level < LEVELS; level++) {
             blocks[level] += sign * rack.blocks(level);
         }
-        if (rack.isWhole()) {
-            wholeRackAccelerators += sign * (1L << rack.topLevel());
+    }
+
+    /** Returns the level of the largest rack; only blocks above it are formed across racks. */
+    private int largestRackLevel() {
+        int largest = 0;
+        for (RackClass racks : classes.values()) {
+            largest = racks.isEmpty() ? largest : Math.max(largest, racks.rackLevel());
         }
+        return largest;
     }
 
-    private long blocksOfRacks(int level) {
-        return level > largestRackLevel ? wholeRackAccelerators >> level : 0;
+    private static int workersOfBlock(Demand block, RackClass racks) {
+        if (racks.top() >= block.level()) {
+            return 1;
+        }
+        return block.adjacency() == Adjacency.WORKER ? 0 : 1 << (block.level() - racks.top());
+    }
+
+    private Optional<Placement> findInPartial(Demand demand, int level) {
+        for (WorkerCells cells : partial.get(level)) {
+            visited++;
+            if (cells.isFitting(demand, demand.accelerators())) {
+                return Optional.of(inBlock(cells, cells.maximalBlock(level), demand));
+            }
+        }
+        return Optional.empty();
     }
 
     private Optional<Placement> findInWorker(Demand demand) {
         int wanted = demand.level();
         for (int level = wanted; level < LEVELS; level++) {
-            for (WorkerCells cells : partial.get(level)) {
-                visited++;
-                if (cells.isFitting(demand, demand.accelerators())) {
-                    return Optional.of(inBlock(cells, cells.maximalBlock(level), demand));
-                }
-            }
-        }
-        for (int top = wanted; top < LEVELS; top++) {
-            Optional<Placement> found = findInRacks(demand, top, 1);
+            Optional<Placement> found = findInPartial(demand, level);
             if (found.isPresent()) {
                 return found;
             }
         }
-        return Optional.empty();
+        return findInRacks(demand, racks -> racks.top() >= wanted ? 1 : 0);
     }
 
     private Placement inBlock(WorkerCells cells, long block, Demand demand) {
@@ -241,43 +306,53 @@
     }
 
     private Optional<Placement> findInRack(Demand demand) {
-        for (int top = LEVELS - 1; top >= 0; top--) {
-            int need = workersNeeded(demand, top);
-            Optional<Placement> found =
-                    need > 1 ? findInRacks(demand, top, need) : Optional.empty();
-            if (found.isPresent()) {
-                return found;
-            }
-        }
-        return Optional.empty();
+        return findInRacks(
+                demand, racks -> racks.top() < demand.level() ? workersNeeded(demand, racks) : 0);
     }
 
-    private static int workersNeeded(Demand demand, int top) {
-        return (demand.accelerators() + (1 << top) - 1) >> top;
+    private static int workersNeeded(Demand demand, RackClass racks) {
+        return (demand.accelerators() + (1 << racks.top()) - 1) >> racks.top();
     }
 
-    /** Takes the rack whose whole workers beyond the need break up the smallest block. */
-    private Optional<Placement> findInRacks(Demand demand, int top, int need) {
-        List<Integer> counts = new ArrayList<>(racksByWhole.get(top).keySet());
-        counts.removeIf(count -> count < need);
-        counts.sort((a, b) -> Integer.compare(brokenBlock(a, need), brokenBlock(b, need)));
-        for (int count : counts) {
-            for (RackCells rack : racksByWhole.get(top).get(count)) {
-                visited++;
-                List<WorkerCells> chosen = fitting(rack, demand, need);
-                if (chosen.size() == need) {
-                    return Optional.of(onWorkers(chosen, demand));
+    /** Takes workers of the rack in which the need breaks up the smallest cell. */
+    private Optional<Placement> findInRacks(Demand demand, ToIntFunction<RackClass> needs) {
+        return candidates(needs).stream()
+                .flatMap(
+                        candidate ->
+                                findIn(candidate, demand, needs.applyAsInt(candidate.racks()))
+                                        .stream())
+                .findFirst();
+    }
+
+    /**
+     * Returns the kinds of racks that hold the need, smallest broken cell first; 0 skips a class.
+     */
+    private List<Candidate> candidates(ToIntFunction<RackClass> needs) {
+        int largest = largestRackLevel();
+        List<Candidate> candidates = new ArrayList<>();
+        for (RackClass racks : classes.values()) {
+            int need = needs.applyAsInt(racks);
+            for (int whole : racks.byWhole().keySet()) {
+                if (need > 0 && whole >= need) {
+                    int level = racks.brokenLevel(whole, need, largest);
+                    candidates.add(new Candidate(level, whole, racks));
                 }
             }
         }
-        return Optional.empty();
+        candidates.sort(
+                Comparator.comparingInt(Candidate::level).thenComparingInt(Candidate::whole));
+        return candidates;
     }
 
-    /** Ranks a rack by the block that the need would break up; an exact fit breaks none. */
-    private static int brokenBlock(int whole, int need) {
-        int wanted = need == 1 ? 1 : Integer.highestOneBit(need - 1) << 1;
-        int lowest = Integer.lowestOneBit(whole & -wanted);
-        return lowest == 0 ? whole - need : lowest * LEVELS + Integer.bitCount(whole);
+    private Optional<Placement> findIn(Candidate candidate, Demand demand, int need) {
+        for (RackCells rack : candidate.racks().byWhole().get(candidate.whole())) {
+            visited++;
+            List<WorkerCells> chosen = fitting(rack, demand, need);
+            if (chosen.size() == need) {
+                return Optional.of(onWorkers(chosen, demand));
+            }
+        }
+        return Optional.empty();
     }
 
     private List<WorkerCells> fitting(RackCells rack, Demand demand, int need) {
@@ -306,24 +381,49 @@
         return new Placement(dataCentre, slices);
     }
 
+    /**
+     * Takes whole units of the class in which that breaks up the smallest cell, else any workers.
+     */
     private Optional<Placement> findAcrossRacks(Demand demand) {
-        for (int top = LEVELS - 1; top >= 0; top--) {
-            int need = workersNeeded(demand, top);
-            List<WorkerCells> chosen = new ArrayList<>();
-            List<Integer> counts = new ArrayList<>(racksByWhole.get(top).keySet());
-            counts.sort((a, b) -> Integer.compare(b, a));
-            for (int count : counts) {
-                for (RackCells rack : racksByWhole.get(top).get(count)) {
-                    if (chosen.size() < need) {
-                        visited++;
-                        chosen.addAll(fitting(rack, demand, need - chosen.size()));
-                    }
-                }
+        List<RackClass> byCell = new ArrayList<>(classes.values());
+        byCell.removeIf(racks -> brokenLevelOfUnits(racks, demand) < 0);
+        byCell.sort(Comparator.comparingInt(racks -> brokenLevelOfUnits(racks, demand)));
+        for (RackClass racks : byCell) {
+            Optional<Placement> found = gather(demand, racks, racks.unitWorkers());
+            if (found.isPresent()) {
+                return found;
             }
-            if (chosen.size() == need) {
-                return Optional.of(onWorkers(chosen, demand));
+        }
+        return classes.values().stream()
+                .flatMap(racks -> gather(demand, racks, 1).stream())
+                .findFirst();
+    }
+
+    private static int brokenLevelOfUnits(RackClass racks, Demand demand) {
+        int workers = workersNeeded(demand, racks);
+        int units = (workers + racks.unitWorkers() - 1) / racks.unitWorkers();
+        return racks.brokenLevelOfUnits(units);
+    }
+
+    /**
+     * Gathers workers from the racks with the most whole ones, from racks with at least so many.
+     */
+    private Optional<Placement> gather(Demand demand, RackClass racks, int atLeast) {
+        int need = workersNeeded(demand, racks);
+        List<WorkerCells> chosen = new ArrayList<>();
+        List<Integer> counts = new ArrayList<>(racks.byWhole().keySet());
+        counts.removeIf(whole -> whole < atLeast);
+        counts.sort(Comparator.reverseOrder());
+        for (int whole : counts) {
+            for (RackCells rack : racks.byWhole().get(whole)) {
+                if (chosen.size() == need) {
+                    return Optional.of(onWorkers(chosen, demand));
+                }
+                visited++;
+                int most = atLeast == 1 ? whole : atLeast;
+                chosen.addAll(fitting(rack, demand, Math.min(most, need - chosen.size())));
             }
         }
-        return Optional.empty();
+        return chosen.size() == need ? Optional.of(onWorkers(chosen, demand)) : Optional.empty();
     }
 }
--- a/core/src/main/java/io/cardamomshelf/core/fleet/Fleet.java
+++ b/core/src/main/java/io/cardamomshelf/core/fleet/Fleet.java
@@ -9,10 +9,12 @@
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.function.Function;
 
 /**
  * The workers that an instance decides for, what is allocated on them, and the indexes over both.
@@ -99,11 +101,11 @@
         Cells cells = cells(allocation);
         cells.free.take(allocation.placement(), allocation.demand());
         if (allocation.guaranteed()) {
-            cells.reclaimable.take(allocation.placement(), allocation.demand());
+            cells.reclaimable.take(allocation.blockCells(), allocation.demand());
         }
-        for (Slice slice : allocation.placement().slices()) {
+        for (WorkerId worker : workersOf(allocation)) {
             jobsByWorker
-                    .computeIfAbsent(slice.worker(), any -> new LinkedHashSet<>())
+                    .computeIfAbsent(worker, any -> new LinkedHashSet<>())
                     .add(allocation.job());
         }
     }
@@ -120,15 +122,11 @@
             return Optional.empty();
         }
         used.merge(allocation.organisation(), -allocation.demand().accelerators(), Integer::sum);
-        for (Slice slice : allocation.placement().slices()) {
-            jobsByWorker.get(slice.worker()).remove(job);
-        }
+        workersOf(allocation).forEach(worker -> jobsByWorker.get(worker).remove(job));
         Cells cells = cells(allocation);
-        cells.free.give(
-                allocation.placement(), allocation.demand(), worker -> heldOn(worker, false));
+        cells.free.give(allocation.placement(), allocation.demand(), this::heldOn);
         if (allocation.guaranteed()) {
-            cells.reclaimable.give(
-                    allocation.placement(), allocation.demand(), worker -> heldOn(worker, true));
+            cells.reclaimable.give(allocation.blockCells(), allocation.demand(), this::blocksOn);
         }
         return Optional.of(allocation);
     }
@@ -225,7 +223,7 @@
     }
 
     /**
-     * Returns the jobs that have cells on a worker.
+     * Returns the jobs that have cells, or a part of their guaranteed block, on a worker.
      *
      * @param worker the worker, not null
      * @return the jobs, never null
@@ -234,6 +232,13 @@
         return Collections.unmodifiableSet(jobsByWorker.getOrDefault(worker, Set.of()));
     }
 
+    private static Set<WorkerId> workersOf(Allocation allocation) {
+        Set<WorkerId> workers = new LinkedHashSet<>();
+        allocation.placement().slices().forEach(slice -> workers.add(slice.worker()));
+        allocation.block().forEach(slice -> workers.add(slice.worker()));
+        return workers;
+    }
+
     private Cells cells(Allocation allocation) {
         return cells(allocation.placement().dataCentre());
     }
@@ -243,26 +248,35 @@
     }
 
     /** Two owners may hold overlapping cells on the books until a worker has refused one. */
-    private long heldOn(WorkerId worker, boolean guaranteedOnly) {
+    private long heldOn(WorkerId worker) {
+        return masksOn(worker, other -> other.placement().slices());
+    }
+
+    private long blocksOn(WorkerId worker) {
+        return masksOn(worker, Allocation::block);
+    }
+
+    private long masksOn(WorkerId worker, Function<Allocation, List<Slice>> cells) {
         return jobsOn(worker).stream()
                 .map(allocations::get)
-                .filter(other -> other.guaranteed() || !guaranteedOnly)
-                .flatMap(other -> other.placement().slices().stream())
+                .flatMap(other -> cells.apply(other).stream())
                 .filter(slice -> slice.worker().equals(worker))
                 .mapToLong(Slice::mask)
                 .reduce(0, (left, right) -> left | right);
     }
 
-    private void takeOn(Cells cells, Allocation allocation, WorkerId worker) {
-        Placement part =
-                new Placement(
-                        allocation.placement().dataCentre(),
-                        allocation.placement().slices().stream()
-                                .filter(slice -> slice.worker().equals(worker))
-                                .toList());
-        cells.free.take(part, allocation.demand());
-        if (allocation.guaranteed()) {
-            cells.reclaimable.take(part, allocation.demand());
-        }
+    private static void takeOn(Cells cells, Allocation allocation, WorkerId worker) {
+        part(allocation, allocation.placement().slices(), worker)
+                .ifPresent(part -> cells.free.take(part, allocation.demand()));
+        part(allocation, allocation.block(), worker)
+                .ifPresent(part -> cells.reclaimable.take(part, allocation.demand()));
+    }
+
+    private static Optional<Placement> part(
+            Allocation allocation, List<Slice> slices, WorkerId worker) {
+        List<Slice> there = slices.stream().filter(slice -> slice.worker().equals(worker)).toList();
+        return there.isEmpty()
+                ? Optional.empty()
+                : Optional.of(new Placement(allocation.placement().dataCentre(), there));
     }
 }
--- a/core/src/main/java/io/cardamomshelf/core/fleet/Placement.java
+++ b/core/src/main/java/io/cardamomshelf/core/fleet/Placement.java
@@ -2,6 +2,7 @@
 
 import io.cardamomshelf.core.base.Checks;
 import io.cardamomshelf.core.base.DataCentreId;
+import java.util.ArrayList;
 import java.util.List;
 
 /**
@@ -42,4 +43,23 @@
     public int accelerators() {
         return slices.stream().mapToInt(Slice::accelerators).sum();
     }
+
+    /**
+     * Returns the first accelerators of the placement.
+     *
+     * @param accelerators how many, from 1
+     * @return a placement of at most so many, never null
+     */
+    public Placement limitedTo(int accelerators) {
+        List<Slice> kept = new ArrayList<>();
+        int left = accelerators;
+        for (Slice slice : slices) {
+            if (left > 0) {
+                Slice part = slice.limitedTo(left);
+                kept.add(part);
+                left -= part.accelerators();
+            }
+        }
+        return new Placement(dataCentre, kept);
+    }
 }
--- a/core/src/main/java/io/cardamomshelf/core/fleet/RackCells.java
+++ b/core/src/main/java/io/cardamomshelf/core/fleet/RackCells.java
@@ -34,11 +34,6 @@
         return whole;
     }
 
-    /** Asks whether every worker is whole, so that the rack counts towards still larger blocks. */
-    boolean isWhole() {
-        return size > 0 && whole.size() == size;
-    }
-
     /** Returns the level of the largest block that the rack holds when it is whole. */
     int topLevel() {
         return top + Integer.SIZE - 1 - Integer.numberOfLeadingZeros(Math.max(1, size));
--- a/core/src/main/java/io/cardamomshelf/core/fleet/Slice.java
+++ b/core/src/main/java/io/cardamomshelf/core/fleet/Slice.java
@@ -45,4 +45,18 @@
     public boolean isOverlapping(Slice other) {
         return worker.equals(other.worker) && (mask & other.mask) != 0;
     }
+
+    /**
+     * Returns the lowest accelerators of the slice.
+     *
+     * @param count how many, from 1
+     * @return a slice of at most so many, never null
+     */
+    public Slice limitedTo(int count) {
+        long kept = mask;
+        while (Long.bitCount(kept) > count) {
+            kept &= ~Long.highestOneBit(kept);
+        }
+        return new Slice(worker, kept);
+    }
 }
--- a/core/src/main/java/io/cardamomshelf/core/job/Placer.java
+++ b/core/src/main/java/io/cardamomshelf/core/job/Placer.java
@@ -126,8 +126,9 @@
             if (claimable) {
                 Optional<Decision> decision =
                         fleet.free(site)
-                                .find(spec.demand())
-                                .map(cells -> allocation(id, spec, cells, true, nowMillis))
+                                .findBlock(spec.demand())
+                                .filter(fleet.reclaimable(site)::isAvailable)
+                                .map(block -> claim(id, spec, block, nowMillis))
                                 .filter(this::isKeepingGuarantees)
                                 .<Decision>map(made -> new Decision.Place(made, List.of()))
                                 .or(() -> reclaim(id, spec, site, nowMillis));
@@ -141,8 +142,8 @@
 
     private Optional<Decision> reclaim(JobId id, JobSpec spec, DataCentreId site, long nowMillis) {
         return fleet.reclaimable(site)
-                .find(spec.demand())
-                .map(cells -> allocation(id, spec, cells, true, nowMillis))
+                .findBlock(spec.demand())
+                .map(block -> claim(id, spec, block, nowMillis))
                 .map(made -> new Decision.Place(made, victims(made.placement())));
     }
 
@@ -151,16 +152,22 @@
         for (DataCentreId site : where) {
             Optional<Placement> cells = fleet.free(site).find(spec.demand());
             if (cells.isPresent()) {
-                Allocation made = allocation(id, spec, cells.get(), false, nowMillis);
+                Allocation made = allocation(id, spec, cells.get(), List.of(), nowMillis);
                 return Optional.of(new Decision.Place(made, List.of()));
             }
         }
         return Optional.empty();
     }
 
+    /** The whole block is charged to the claim, so that it is whole again when the job ends. */
+    private static Allocation claim(JobId id, JobSpec spec, Placement block, long nowMillis) {
+        Placement used = block.limitedTo(spec.demand().accelerators());
+        return allocation(id, spec, used, block.slices(), nowMillis);
+    }
+
     private static Allocation allocation(
-            JobId id, JobSpec spec, Placement cells, boolean guaranteed, long nowMillis) {
-        return new Allocation(id, spec.organisation(), spec.demand(), cells, guaranteed, nowMillis);
+            JobId id, JobSpec spec, Placement cells, List<Slice> block, long nowMillis) {
+        return new Allocation(id, spec.organisation(), spec.demand(), cells, block, nowMillis);
     }
 
     /** Tries the allocation on the books and takes it back. */
--- a/entry/src/main/java/io/cardamomshelf/entry/FleetFollower.java
+++ b/entry/src/main/java/io/cardamomshelf/entry/FleetFollower.java
@@ -190,7 +190,7 @@
                 note.spec().organisation(),
                 note.spec().demand(),
                 note.placement(),
-                note.guaranteed(),
+                note.block(),
                 Clock.millis());
     }
 }
--- a/entry/src/main/java/io/cardamomshelf/entry/JobRunner.java
+++ b/entry/src/main/java/io/cardamomshelf/entry/JobRunner.java
@@ -175,7 +175,7 @@
         Allocation made = place.allocation();
         int attempt = attempts.merge(id, 1, Integer::sum);
         long token = Tokens.of(job.ownerOffset(), attempt);
-        GangNote note = new GangNote(id, job.spec(), made.placement(), made.guaranteed());
+        GangNote note = new GangNote(id, job.spec(), made.placement(), made.block());
         busy.add(id);
         waits.remove(id);
         List<Uni<Void>> evictions = place.victims().stream().map(v -> evict(v, id)).toList();
