--- /dev/null
+++ b/core/src/test/java/io/cardamomshelf/core/config/ConfigLogTest.java
@@ -0,0 +1,130 @@
+package io.cardamomshelf.core.config;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.cardamomshelf.core.base.DataCentreId;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.Random;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+/** An accepted configuration never reverts, and operators' races have one winner everywhere. */
+class ConfigLogTest {
+
+    private static final EntryKey KEY = EntryKey.dataCentre(DataCentreId.of("jhb-a"));
+
+    private static ConfigLog.Numbered edit(long offset, String id, long basedOn, boolean in) {
+        Change change = new Change(KEY, basedOn, Optional.of(new Availability(in, "")));
+        Edit edit = new Edit(Edit.FORMAT, id, "test", List.of(change));
+        return new ConfigLog.Numbered(offset, new ConfigRecord.EditRecord(edit));
+    }
+
+    private static FoldResult.Status status(ConfigLog log, ConfigLog.Numbered record) {
+        return log.fold(1, List.of(record)).get(0).result().status();
+    }
+
+    @Nested
+    class Races {
+
+        @Test
+        void theFirstOfTwoEditsOnOneVersionWins() {
+            ConfigLog log = new ConfigLog();
+            assertEquals(FoldResult.Status.ACCEPTED, status(log, edit(1, "e-1", 0, false)));
+            assertEquals(FoldResult.Status.CONFLICT, status(log, edit(2, "e-2", 0, true)));
+            assertFalse(log.state().isIn(DataCentreId.of("jhb-a")));
+            assertEquals(2, log.state().offset());
+        }
+
+        @Test
+        void aRepeatedAppendFoldsOnce() {
+            ConfigLog log = new ConfigLog();
+            status(log, edit(1, "e-1", 0, false));
+            status(log, edit(2, "e-2", 1, true));
+            assertEquals(FoldResult.Status.REPEATED, status(log, edit(3, "e-1", 0, false)));
+            assertTrue(log.state().isIn(DataCentreId.of("jhb-a")));
+        }
+
+        @Test
+        void anUnknownFormatIsRefused() {
+            Change change = new Change(KEY, 0, Optional.of(new Availability(false, "")));
+            Edit edit = new Edit(Edit.FORMAT + 1, "e-1", "test", List.of(change));
+            FoldResult result = ConfigState.EMPTY.plus(1, edit);
+            assertEquals(FoldResult.Status.UNKNOWN_FORMAT, result.status());
+            assertEquals(1, result.state().offset());
+        }
+    }
+
+    @Nested
+    class Gaps {
+
+        @Test
+        void keepTheOldStateUntilSomethingLeadsOverThem() {
+            ConfigLog log = new ConfigLog();
+            log.fold(1, List.of(edit(1, "e-1", 0, false)));
+            log.fold(5, List.of(edit(5, "e-5", 4, true)));
+            assertTrue(log.isGap());
+            assertEquals(1, log.state().offset());
+            assertFalse(log.state().isIn(DataCentreId.of("jhb-a")));
+        }
+
+        @Test
+        void areCrossedByASnapshotInWhatIsLeft() {
+            ConfigLog whole = new ConfigLog();
+            whole.fold(1, List.of(edit(1, "e-1", 0, false), edit(2, "e-2", 1, true)));
+            ConfigLog late = new ConfigLog();
+            ConfigRecord snapshot = new ConfigRecord.SnapshotRecord(whole.state());
+            late.fold(3, List.of(new ConfigLog.Numbered(3, snapshot), edit(4, "e-4", 2, false)));
+            assertFalse(late.isGap());
+            assertEquals(4, late.state().offset());
+            assertFalse(late.state().isIn(DataCentreId.of("jhb-a")));
+        }
+
+        @Test
+        void aPeersOlderStateIsNeverTaken() {
+            ConfigLog log = new ConfigLog();
+            log.fold(1, List.of(edit(1, "e-1", 0, false)));
+            assertFalse(log.adopt(ConfigState.EMPTY));
+            assertEquals(1, log.state().offset());
+        }
+    }
+
+    @Property(tries = 200, seed = "4712")
+    void allInstancesAgreeHoweverThePagesAreCut(@ForAll long seed) {
+        Random random = new Random(seed);
+        List<ConfigLog.Numbered> records = new ArrayList<>();
+        for (long offset = 1; offset <= 60; offset++) {
+            String id = "e-" + random.nextInt(50);
+            records.add(edit(offset, id, random.nextInt((int) offset), random.nextBoolean()));
+        }
+        ConfigLog atOnce = new ConfigLog();
+        atOnce.fold(1, records);
+        ConfigLog inPages = new ConfigLog();
+        long highest = 0;
+        while (inPages.state().offset() < 60) {
+            int from = Math.max(0, (int) inPages.state().offset() - random.nextInt(5));
+            int to = Math.min(60, from + 1 + random.nextInt(12));
+            inPages.fold(1, records.subList(from, to));
+            assertTrue(inPages.state().offset() >= highest, "the state went back");
+            highest = inPages.state().offset();
+        }
+        assertEquals(atOnce.state(), inPages.state());
+    }
+
+    @Test
+    void anEditNamesEachEntryOnce() {
+        Change change = new Change(KEY, 0, Optional.empty());
+        List<Change> twice = List.of(change, change);
+        IllegalArgumentException refusal =
+                assertThrows(
+                        IllegalArgumentException.class,
+                        () -> new Edit(Edit.FORMAT, "e-1", "test", twice));
+        assertEquals("changes: dataCentres/jhb-a stands twice", refusal.getMessage());
+    }
+}
--- /dev/null
+++ b/core/src/test/java/io/cardamomshelf/core/job/JobTableTest.java
@@ -0,0 +1,79 @@
+package io.cardamomshelf.core.job;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.cardamomshelf.core.Fixtures;
+import io.cardamomshelf.core.base.InstanceId;
+import io.cardamomshelf.core.base.JobId;
+import io.cardamomshelf.core.base.OrganisationId;
+import io.cardamomshelf.core.event.HybridTime;
+import io.cardamomshelf.core.lease.Tokens;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+/** Jobs folded from the log: owners, takeovers and ends. */
+class JobTableTest {
+
+    private static final JobId JOB = Fixtures.job(1);
+    private static final InstanceId FIRST = InstanceId.of("entry-1");
+    private static final InstanceId SECOND = InstanceId.of("entry-2");
+    private static final InstanceId THIRD = InstanceId.of("entry-3");
+
+    private final JobTable table = new JobTable();
+
+    private void accept() {
+        JobSpec spec = Fixtures.spec(OrganisationId.of("a"), 16);
+        table.fold(5, new JobRecord.Accepted(JOB, spec, FIRST));
+    }
+
+    @Nested
+    class Takeover {
+
+        @Test
+        void theFirstClaimOnABasisWins() {
+            accept();
+            table.fold(6, new JobRecord.Claimed(JOB, 5, SECOND));
+            table.fold(7, new JobRecord.Claimed(JOB, 5, THIRD));
+            assertEquals(SECOND, table.job(JOB).orElseThrow().owner());
+            assertEquals(6, table.job(JOB).orElseThrow().ownerOffset());
+        }
+
+        @Test
+        void raisesTheTokenAboveAllAttemptsOfTheOwnerBefore() {
+            assertTrue(Tokens.of(6, 0) > Tokens.of(5, 1_048_575));
+        }
+    }
+
+    @Nested
+    class End {
+
+        @Test
+        void isKeptAndNothingAfterItCounts() {
+            accept();
+            table.fold(6, new JobRecord.Ended(JOB, JobRecord.Result.SUCCEEDED, ""));
+            table.fold(7, new JobRecord.Claimed(JOB, 5, SECOND));
+            table.fold(8, new JobRecord.Cancelled(JOB));
+            assertEquals(
+                    JobRecord.Result.SUCCEEDED,
+                    table.job(JOB).orElseThrow().end().orElseThrow().result());
+            assertTrue(table.open().isEmpty());
+        }
+
+        @Test
+        void anAcceptanceRepeatedAfterItIsPassedOver() {
+            accept();
+            table.fold(6, new JobRecord.Ended(JOB, JobRecord.Result.SUCCEEDED, ""));
+            table.fold(7, new JobRecord.Accepted(JOB, table.job(JOB).get().spec(), SECOND));
+            assertTrue(table.open().isEmpty());
+        }
+    }
+
+    @Test
+    void anEffectNeverSortsBeforeItsCauseThoughClocksDiffer() {
+        HybridTime sender = new HybridTime(0, 0).plusLocal(90_000);
+        HybridTime receiver = new HybridTime(0, 0).plusLocal(60_000).plusRemote(sender, 60_001);
+        assertTrue(receiver.compareTo(sender) > 0);
+        assertTrue(receiver.plusLocal(60_002).compareTo(receiver) > 0);
+    }
+}
--- /dev/null
+++ b/core/src/test/java/io/cardamomshelf/core/lease/GangTableTest.java
@@ -0,0 +1,98 @@
+package io.cardamomshelf.core.lease;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+
+import io.cardamomshelf.core.Fixtures;
+import io.cardamomshelf.core.base.JobId;
+import io.cardamomshelf.core.base.OrganisationId;
+import io.cardamomshelf.core.fleet.Placement;
+import io.cardamomshelf.core.fleet.Slice;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** The truth table of a gang: each row, and that no row leaves a part alone. */
+class GangTableTest {
+
+    private static final JobId JOB = Fixtures.job(1);
+    private static final Placement PLACEMENT =
+            new Placement(
+                    Fixtures.SITE,
+                    List.of(
+                            new Slice(Fixtures.worker(0, 0).id(), 0xff),
+                            new Slice(Fixtures.worker(0, 1).id(), 0xff)));
+
+    private static GangAction decide(String lead, String other) {
+        return GangTable.decide(JOB, PLACEMENT, List.of(member(0, lead), member(1, other)));
+    }
+
+    private static GangTable.Member member(int index, String state) {
+        GangTable.Sight sight =
+                switch (state) {
+                    case "STALE" -> GangTable.Sight.STALE;
+                    case "GONE" -> GangTable.Sight.GONE;
+                    default -> GangTable.Sight.FRESH;
+                };
+        Optional<Lease> lease =
+                List.of("STALE", "GONE", "ABSENT").contains(state)
+                        ? Optional.empty()
+                        : Optional.of(lease(LeaseState.valueOf(state)));
+        return new GangTable.Member(Fixtures.worker(0, index).id(), sight, lease);
+    }
+
+    private static Lease lease(LeaseState state) {
+        GangNote note =
+                new GangNote(JOB, Fixtures.spec(OrganisationId.of("a"), 16), PLACEMENT, List.of());
+        return new Lease(JOB, 1, 0xff, state, 1_000, note);
+    }
+
+    @ParameterizedTest
+    @CsvSource({
+        "HELD, HELD, NONE",
+        "HELD, ABSENT, STOP",
+        "COMMITTED, HELD, START",
+        "COMMITTED, ABSENT, STOP",
+        "COMMITTED, STALE, NONE",
+        "COMMITTED, GONE, STOP",
+        "RUNNING, HELD, START",
+        "RUNNING, RUNNING, RENEW",
+        "RUNNING, DONE, RENEW",
+        "RUNNING, ABSENT, STOP",
+        "RUNNING, FAILED, STOP",
+        "RUNNING, STALE, NONE",
+        "ABSENT, RUNNING, STOP",
+        "DONE, DONE, FINISH",
+        "DONE, ABSENT, STOP",
+        "ABSENT, ABSENT, NONE"
+    })
+    void eachRow(String lead, String other, GangAction action) {
+        assertEquals(action, decide(lead, other));
+    }
+
+    @Nested
+    class EveryCombination {
+
+        @Test
+        void withAPartLostNeverGoesOn() {
+            List<String> lost = List.of("ABSENT", "GONE", "FAILED");
+            List<GangAction> seen = new ArrayList<>();
+            for (LeaseState state : LeaseState.values()) {
+                for (String other : lost) {
+                    seen.add(decide(state.name(), other));
+                    seen.add(decide(other, state.name()));
+                }
+            }
+            seen.forEach(
+                    action -> {
+                        assertNotEquals(GangAction.RENEW, action);
+                        assertNotEquals(GangAction.START, action);
+                        assertNotEquals(GangAction.FINISH, action);
+                    });
+        }
+    }
+}
--- /dev/null
+++ b/core/src/test/java/io/cardamomshelf/core/request/RequestPolicyTest.java
@@ -0,0 +1,160 @@
+package io.cardamomshelf.core.request;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.cardamomshelf.core.base.DataCentreId;
+import io.cardamomshelf.core.base.InstanceId;
+import io.cardamomshelf.core.base.OrganisationId;
+import io.cardamomshelf.core.base.WorkerId;
+import java.util.HashSet;
+import java.util.Random;
+import java.util.Set;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+/** Verdicts, budgets, limits, breakers, the choice of an upstream and the claims of keys. */
+class RequestPolicyTest {
+
+    private static final DataCentreId NEAR = DataCentreId.of("jhb-a");
+    private static final DataCentreId FAR = DataCentreId.of("cpt-a");
+
+    @Nested
+    class Verdicts {
+
+        @Test
+        void ofTwoAttemptsRuleOutARunOnlyIfBothDo() {
+            assertEquals(Verdict.NOT_RUN, Verdict.NOT_RUN.with(Verdict.NOT_RUN));
+            assertEquals(Verdict.MAY_HAVE_RUN, Verdict.MAY_HAVE_RUN.with(Verdict.NOT_RUN));
+            assertEquals(Verdict.RAN, Verdict.MAY_HAVE_RUN.with(Verdict.RAN));
+        }
+
+        @Test
+        void allowARetryOnlyWhereItBreaksNoPromise() {
+            assertTrue(Verdict.NOT_RUN.isRetryable(false));
+            assertFalse(Verdict.MAY_HAVE_RUN.isRetryable(false));
+            assertTrue(Verdict.MAY_HAVE_RUN.isRetryable(true));
+            assertFalse(Verdict.RAN.isRetryable(true));
+        }
+    }
+
+    @Nested
+    class Budget {
+
+        @Test
+        void keepsRetriesToItsShare() {
+            RetryBudget budget = new RetryBudget(10, 10);
+            int retries = 0;
+            for (int request = 0; request < 10_000; request++) {
+                budget.plusRequest();
+                retries += budget.tryRetry() ? 1 : 0;
+            }
+            assertTrue(retries <= 10_000 / 10 + 10, "retries " + retries);
+        }
+    }
+
+    @Nested
+    class Limit {
+
+        @Test
+        void shrinksOnFailureNeverBelowOneAndGrowsBack() {
+            ConcurrencyLimit limit = new ConcurrencyLimit(8);
+            for (int failure = 0; failure < 20; failure++) {
+                assertTrue(limit.tryAcquire());
+                limit.release(false);
+            }
+            assertEquals(1, limit.limit());
+            for (int success = 0; success < 100; success++) {
+                assertTrue(limit.tryAcquire());
+                limit.release(true);
+            }
+            assertEquals(8, limit.limit());
+            assertEquals(0, limit.inFlight());
+        }
+    }
+
+    @Nested
+    class Ejection {
+
+        @Test
+        void letsOneProbeThroughAndDoublesThePause() {
+            Breaker breaker = new Breaker(2, 100);
+            assertFalse(breaker.plusFailure(0));
+            assertTrue(breaker.plusFailure(0));
+            assertTrue(breaker.isOpen(99));
+            assertFalse(breaker.isOpen(100));
+            breaker.plusAttempt();
+            assertTrue(breaker.isOpen(100), "only one probe");
+            assertFalse(breaker.plusFailure(100));
+            assertTrue(breaker.isOpen(299));
+            assertFalse(breaker.isOpen(300));
+            breaker.plusSuccess();
+            assertFalse(breaker.isEjected());
+        }
+    }
+
+    @Nested
+    class Choice {
+
+        private final UpstreamChooser chooser = new UpstreamChooser(NEAR, "gauteng", 4);
+
+        private WorkerId add(String name, DataCentreId site, String region, boolean leaving) {
+            chooser.put(WorkerId.of(name), site, region, leaving);
+            return WorkerId.of(name);
+        }
+
+        private Upstream choose(long now) {
+            return chooser.choose(site -> true, Set.of(), now, new Random(1)).orElse(null);
+        }
+
+        @Test
+        void staysNearAsLongAsThereIsAPlace() {
+            WorkerId near = add("near", NEAR, "gauteng", false);
+            WorkerId far = add("far", FAR, "western-cape", false);
+            for (int place = 0; place < 4; place++) {
+                assertEquals(near, choose(0).worker());
+            }
+            assertEquals(far, choose(0).worker());
+        }
+
+        @Test
+        void givesALeavingUpstreamNothingNew() {
+            add("leaving", NEAR, "gauteng", true);
+            assertEquals(null, choose(0));
+        }
+
+        @Test
+        void aFastFailureAttractsNothing() {
+            WorkerId failing = add("failing", NEAR, "gauteng", false);
+            for (int good = 0; good < 4; good++) {
+                add("good-" + good, NEAR, "gauteng", false);
+            }
+            Random random = new Random(7);
+            int sent = 0;
+            for (int request = 0; request < 1_000; request++) {
+                Upstream chosen =
+                        chooser.choose(site -> true, new HashSet<>(), request, random)
+                                .orElseThrow();
+                boolean fails = chosen.worker().equals(failing);
+                sent += fails ? 1 : 0;
+                chooser.release(chosen, !fails, request);
+            }
+            assertTrue(sent <= 5, "sent " + sent + " to the failing upstream");
+        }
+    }
+
+    @Nested
+    class Claims {
+
+        @Test
+        void theFirstClaimOfAKeyWins() {
+            OrganisationId owner = OrganisationId.of("a");
+            ClaimTable table = new ClaimTable(2);
+            table.fold(1, new ClaimRecord(owner, "k", "r-1", InstanceId.of("entry-1")));
+            table.fold(2, new ClaimRecord(owner, "k", "r-2", InstanceId.of("entry-2")));
+            assertEquals("r-1", table.winner(owner, "k").orElseThrow().attempt());
+            assertTrue(table.winner(OrganisationId.of("b"), "k").isEmpty());
+        }
+    }
+}
