--- a/entry/src/main/java/io/cardamomshelf/entry/CallersApi.java
+++ b/entry/src/main/java/io/cardamomshelf/entry/CallersApi.java
@@ -88,9 +88,7 @@
         router.get("/v1/jobs/:id").handler(this::showJob);
         router.delete("/v1/jobs/:id").handler(this::cancelJob);
         router.errorHandler(TOO_LARGE, context -> tooLarge(context));
-        router.errorHandler(
-                NOT_FOUND,
-                context -> invalid(context, "", "no such path: " + context.request().path()));
+        router.errorHandler(NOT_FOUND, CallersApi::noSuchPath);
         return router;
     }
 
@@ -239,6 +237,11 @@
         }
     }
 
+    private static void noSuchPath(RoutingContext context) {
+        String detail = "no such path: " + context.request().path();
+        Problem.send(context, Verdict.NOT_RUN, Reason.UNKNOWN, "", "", detail);
+    }
+
     private static void unknown(RoutingContext context, JobId id) {
         Problem.send(context, Verdict.NOT_RUN, Reason.UNKNOWN, "", "id", id + " is unknown");
     }
--- a/entry/src/main/java/io/cardamomshelf/entry/JobRunner.java
+++ b/entry/src/main/java/io/cardamomshelf/entry/JobRunner.java
@@ -216,6 +216,7 @@
 
     private void abort(JobId id, Allocation made, long token, String why) {
         events.publish(EventType.GANG_ABORTED, id.value(), why);
+        whole.remove(id);
         gangs.stop(id, made.placement(), token)
                 .onTermination()
                 .invoke(
@@ -244,9 +245,9 @@
             return;
         }
         GangAction action = GangTable.decide(job.id(), cells.placement(), members);
-        if (action == GangAction.RENEW) {
+        if (action == GangAction.RENEW || action == GangAction.FINISH) {
+            // An ended gang's leases are renewed too, until its end is in the log.
             whole.add(job.id());
-            return;
         }
         switch (action) {
             case START -> resume(job, cells);
@@ -317,7 +318,6 @@
 
     private void settle(JobId id) {
         busy.remove(id);
-        whole.remove(id);
         changedMillis.put(id, Clock.millis());
     }
 
--- a/entry/src/main/java/io/cardamomshelf/entry/Problem.java
+++ b/entry/src/main/java/io/cardamomshelf/entry/Problem.java
@@ -83,7 +83,7 @@
             case OK -> "OK";
             case INVALID -> "The input is wrong";
             case NOT_GRANTED -> "The organisation has no plan or grant";
-            case UNKNOWN -> "There is no such job";
+            case UNKNOWN -> "There is no such job or path";
             case KEY_IN_USE -> "Another attempt holds the idempotency key";
             case NEVER_FITS -> "The job can never run";
             case OVERLOADED -> "Too many requests in flight";
--- /dev/null
+++ b/sessions/src/test/java/io/cardamomshelf/sessions/CallersApiTest.java
@@ -0,0 +1,191 @@
+package io.cardamomshelf.sessions;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.cardamomshelf.core.event.EventType;
+import io.cardamomshelf.wire.FrameCodec;
+import java.io.IOException;
+import java.io.OutputStream;
+import java.net.Socket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Random;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import org.junit.jupiter.api.AfterAll;
+import org.junit.jupiter.api.BeforeAll;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+/** The callers' interface: the documented examples, wrong input, and garbled frames of a peer. */
+class CallersApiTest {
+
+    private static Local local;
+
+    @BeforeAll
+    static void start() throws SessionException {
+        local = new Local();
+        local.addWorker("w1", "jhb-a");
+        local.addWorker("w2", "jhb-a");
+        local.addEntry("entry-1", "jhb-a");
+        local.publish(32, List.of(), "jhb-a");
+        local.awaitReady();
+        local.awaitState(1, "jhb-a", 16);
+    }
+
+    @AfterAll
+    static void stop() {
+        local.close();
+    }
+
+    @Nested
+    class Documented {
+
+        private static final Pattern CURL =
+                Pattern.compile(
+                        "curl -X (\\w+) http://127\\.0\\.0\\.1:8080(\\S+)"
+                                + "((?: \\\\\n +-H '[^']+')*)(?: \\\\\n +-d '([^']+)')?\n# (\\d+)");
+
+        @Test
+        void everyExampleAnswersAsThePageSays() throws Exception {
+            String page = Files.readString(root().resolve("docs/API.md"));
+            Matcher example = CURL.matcher(page);
+            int examples = 0;
+            String job = "";
+            while (example.find()) {
+                examples++;
+                String path = example.group(2).replace("JOB", job);
+                Local.Reply reply =
+                        local.send(
+                                example.group(1),
+                                local.callers("entry-1") + path,
+                                example.group(4),
+                                headers(example.group(3)));
+                assertEquals(example.group(5), "" + reply.status(), example.group());
+                job = reply.body().has("job") ? reply.text("job") : job;
+            }
+            assertTrue(examples >= 6, "examples " + examples);
+        }
+
+        private String[] headers(String text) {
+            return Pattern.compile("-H '([^:]+): ([^']+)'")
+                    .matcher(text)
+                    .results()
+                    .flatMap(found -> java.util.stream.Stream.of(found.group(1), found.group(2)))
+                    .toArray(String[]::new);
+        }
+    }
+
+    @Nested
+    class Wrong {
+
+        private Local.Reply post(String path, String body) throws SessionException {
+            return local.send("POST", local.callers("entry-1") + path, body);
+        }
+
+        private void isRefused(String field, Local.Reply reply) {
+            assertEquals(400, reply.status(), reply.toString());
+            assertEquals("NOT_RUN", reply.text("verdict"));
+            assertEquals("INVALID", reply.text("reason"));
+            assertEquals(field, reply.text("field"), reply.toString());
+        }
+
+        @Test
+        void aFieldIsNamed() throws SessionException {
+            isRefused(
+                    "organisation", post("/v1/requests", "{\"idempotent\":true,\"payload\":\"\"}"));
+            isRefused(
+                    "idempotent",
+                    post("/v1/requests", "{\"organisation\":\"a\",\"payload\":\"\"}"));
+            isRefused(
+                    "deadlineMillis",
+                    post(
+                            "/v1/requests",
+                            "{\"organisation\":\"a\",\"idempotent\":true,\"payload\":\"\","
+                                    + "\"deadlineMillis\":0}"));
+            isRefused(
+                    "Idempotency-Key",
+                    post(
+                            "/v1/requests",
+                            "{\"organisation\":\"a\",\"idempotent\":false,\"payload\":\"\"}"));
+            isRefused(
+                    "accelerators",
+                    post(
+                            "/v1/jobs",
+                            "{\"organisation\":\"a\",\"accelerators\":513,"
+                                    + "\"estimateMillis\":1,\"payload\":\"\"}"));
+            isRefused("surprise", post("/v1/jobs", "{\"surprise\":1}"));
+            isRefused("", post("/v1/jobs", "{"));
+        }
+
+        @Test
+        void aBodyOverTheLimitIsRefused() throws SessionException {
+            isRefused("body", post("/v1/requests", "x".repeat(300_000)));
+        }
+
+        @Test
+        void garbledBodiesNeitherCrashNorRun() throws SessionException {
+            String good =
+                    "{\"organisation\":\"nobody\",\"idempotent\":true,\"payload\":\"fuzzed\"}";
+            Random random = new Random(44);
+            for (int round = 0; round < 300; round++) {
+                char[] body = good.toCharArray();
+                for (int change = 0; change <= random.nextInt(4); change++) {
+                    body[random.nextInt(body.length)] = (char) (32 + random.nextInt(95));
+                }
+                Local.Reply reply = post("/v1/requests", new String(body));
+                assertTrue(
+                        reply.status() >= 400 && reply.status() < 500,
+                        new String(body) + " " + reply);
+                assertEquals("NOT_RUN", reply.text("verdict"));
+            }
+            assertTrue(local.worker("w1").runs().stream().noneMatch(run -> run.contains("fuzz")));
+        }
+
+        @Test
+        void anUnknownPathOrJobIsNotFound() throws SessionException {
+            assertEquals(404, local.send("GET", local.callers("entry-1") + "/v2", null).status());
+            assertEquals(404, local.job("entry-1", "j-none").status());
+        }
+
+        @Test
+        void operatorsPathsWantTheTokenOnTheirOwnListener() throws SessionException {
+            String path = "/v1/timeline";
+            String operators = local.operators("entry-1");
+            assertEquals(401, local.send("GET", operators + path, null).status());
+            assertEquals(
+                    401,
+                    local.send("GET", operators + path, null, "Authorization", "Bearer x")
+                            .status());
+            assertEquals(404, local.send("GET", local.callers("entry-1") + path, null).status());
+        }
+    }
+
+    @Nested
+    class Peers {
+
+        @Test
+        void aGarbledFrameClosesThatConnectionOnly() throws IOException, SessionException {
+            try (Socket socket = new Socket("127.0.0.1", local.peerPort("entry-1"))) {
+                OutputStream out = socket.getOutputStream();
+                out.write(new byte[] {0, 0, 0, 2, FrameCodec.VERSION, 7});
+                out.flush();
+                assertEquals(-1, socket.getInputStream().read());
+            }
+            Wait.until(
+                    "the refused frame is on the time line",
+                    () ->
+                            local.timeline("entry-1")
+                                    .toString()
+                                    .contains(EventType.FRAME_REFUSED.name()));
+            assertEquals(200, local.request("entry-1", true, "still here").status());
+        }
+    }
+
+    private static Path root() {
+        Path here = Path.of("").toAbsolutePath();
+        return Files.exists(here.resolve("docs")) ? here : here.getParent();
+    }
+}
--- /dev/null
+++ b/sessions/src/test/java/io/cardamomshelf/sessions/Local.java
@@ -0,0 +1,298 @@
+package io.cardamomshelf.sessions;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import io.cardamomshelf.core.base.DataCentreId;
+import io.cardamomshelf.core.base.OrganisationId;
+import io.cardamomshelf.core.base.WorkerId;
+import io.cardamomshelf.core.config.Availability;
+import io.cardamomshelf.core.config.Change;
+import io.cardamomshelf.core.config.Edit;
+import io.cardamomshelf.core.config.EntryKey;
+import io.cardamomshelf.core.config.Grant;
+import io.cardamomshelf.core.config.Guarantee;
+import io.cardamomshelf.core.config.Plan;
+import io.cardamomshelf.core.fleet.Worker;
+import io.cardamomshelf.core.membership.Instance;
+import io.cardamomshelf.entry.EntryInstance;
+import io.cardamomshelf.entry.settings.Settings;
+import io.cardamomshelf.entry.settings.Shutdown;
+import io.cardamomshelf.platform.ConfigJson;
+import io.cardamomshelf.standin.ListStandin;
+import io.cardamomshelf.standin.LogStandin;
+import io.cardamomshelf.standin.WorkerStandin;
+import io.vertx.core.VertxOptions;
+import io.vertx.mutiny.core.Vertx;
+import java.io.IOException;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+/** A deployment inside one process, for tests in which timing and switches must be exact. */
+final class Local implements AutoCloseable {
+
+    static final String ORGANISATION = "rotating-savings";
+    private static final String HOST = "127.0.0.1";
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+
+    record Reply(int status, JsonNode body) {
+        String text(String field) {
+            return body.path(field).asText();
+        }
+    }
+
+    private final List<Vertx> loops = new ArrayList<>();
+    private final Map<String, Vertx> entryLoops = new LinkedHashMap<>();
+    private final HttpClient http = HttpClient.newHttpClient();
+    private final int logPort;
+    private final int listPort;
+    private final LogStandin log;
+    private final ListStandin list;
+    private final Map<String, WorkerStandin> workers = new LinkedHashMap<>();
+    private final Map<String, EntryInstance> entries = new LinkedHashMap<>();
+    private final Map<String, EntryInstance.Ports> ports = new LinkedHashMap<>();
+    private int edits;
+
+    Local() {
+        this(100_000);
+    }
+
+    Local(int retention) {
+        log = new LogStandin(loop(), retention, 500);
+        list = new ListStandin(loop());
+        logPort = log.start(0).await().indefinitely();
+        listPort = list.start(0).await().indefinitely();
+    }
+
+    LogStandin log() {
+        return log;
+    }
+
+    ListStandin list() {
+        return list;
+    }
+
+    WorkerStandin worker(String name) {
+        return workers.get(name);
+    }
+
+    EntryInstance entry(String name) {
+        return entries.get(name);
+    }
+
+    void addWorker(String name, String site) {
+        Worker worker =
+                new Worker(WorkerId.of(name), DataCentreId.of(site), site + "-r1", 8, 128, 500_000);
+        WorkerStandin standin = new WorkerStandin(loop(), worker);
+        workers.put(name, standin);
+        int port = standin.start(0).await().indefinitely();
+        list.put(instance(name, Instance.Role.WORKER, site, port, 0, false));
+    }
+
+    void addEntry(String name, String site) throws SessionException {
+        Settings settings =
+                new Settings(
+                        name,
+                        DataCentreId.of(site),
+                        "gauteng",
+                        HOST + ":0",
+                        new Settings.Operators(null, Deployment.TOKEN),
+                        HOST + ":0",
+                        new Settings.Platform(HOST + ":" + logPort, HOST + ":" + listPort),
+                        null,
+                        new Shutdown(200L, 10_000L),
+                        null);
+        Vertx loop = loop();
+        entryLoops.put(name, loop);
+        EntryInstance entry = new EntryInstance(loop, settings);
+        EntryInstance.Ports bound = entry.start().await().indefinitely();
+        entries.put(name, entry);
+        ports.put(name, bound);
+        list.put(instance(name, Instance.Role.ENTRY, site, bound.callers(), bound.peers(), false));
+    }
+
+    /** Publishes one organisation that may use all sites, with guarantees if any. */
+    void publish(int quota, List<Guarantee> guarantees, String... sites) throws SessionException {
+        Set<DataCentreId> granted = new HashSet<>();
+        for (String site : sites) {
+            granted.add(DataCentreId.of(site));
+        }
+        OrganisationId name = OrganisationId.of(ORGANISATION);
+        edit(
+                List.of(
+                        new Change(
+                                EntryKey.plan(name),
+                                0,
+                                Optional.of(new Plan(guarantees, quota, 1))),
+                        new Change(EntryKey.grant(name), 0, Optional.of(new Grant(granted, 60)))));
+    }
+
+    void setIn(String site, boolean in, long basedOn) throws SessionException {
+        EntryKey key = EntryKey.dataCentre(DataCentreId.of(site));
+        edit(List.of(new Change(key, basedOn, Optional.of(new Availability(in, "")))));
+    }
+
+    void edit(List<Change> changes) throws SessionException {
+        Edit edit = new Edit(Edit.FORMAT, "e-" + ++edits, "test", changes);
+        raw("POST", HOST + ":" + logPort + "/streams/config/records", ConfigJson.write(edit));
+    }
+
+    void awaitReady() throws SessionException {
+        for (String entry : entries.keySet()) {
+            Wait.until(
+                    entry + " is ready", () -> raw("GET", callers(entry) + "/ready", null) == 200);
+        }
+    }
+
+    /** Waits until every entry has folded an offset and sees so many accelerators in a site. */
+    void awaitState(long offset, String site, int total) throws SessionException {
+        for (String entry : entries.keySet()) {
+            Wait.until(
+                    entry + " sees offset " + offset + " and " + total + " in " + site,
+                    () -> isSeeing(status(entry), offset, site, total));
+        }
+    }
+
+    private static boolean isSeeing(JsonNode status, long offset, String site, int total) {
+        boolean seen = false;
+        for (JsonNode one : status.path("dataCentres")) {
+            seen |=
+                    one.path("dataCentre").asText().equals(site)
+                            && one.path("total").asInt() == total;
+        }
+        return seen && status.path("configOffset").asLong() >= offset;
+    }
+
+    JsonNode status(String entry) throws SessionException {
+        return operators(entry, "/v1/status");
+    }
+
+    JsonNode timeline(String entry) throws SessionException {
+        return operators(entry, "/v1/timeline").path("events");
+    }
+
+    private JsonNode operators(String entry, String path) throws SessionException {
+        return send(
+                        "GET",
+                        operators(entry) + path,
+                        null,
+                        "Authorization",
+                        "Bearer " + Deployment.TOKEN)
+                .body();
+    }
+
+    String operators(String entry) {
+        return HOST + ":" + ports.get(entry).operators();
+    }
+
+    String callers(String entry) {
+        return HOST + ":" + ports.get(entry).callers();
+    }
+
+    int peerPort(String entry) {
+        return ports.get(entry).peers();
+    }
+
+    Reply request(String entry, boolean idempotent, String payload, String... headers)
+            throws SessionException {
+        String body =
+                "{\"organisation\":\""
+                        + ORGANISATION
+                        + "\",\"idempotent\":"
+                        + idempotent
+                        + ",\"deadlineMillis\":4000,\"payload\":\""
+                        + payload
+                        + "\"}";
+        return send("POST", callers(entry) + "/v1/requests", body, headers);
+    }
+
+    Reply submit(String entry, int accelerators, long runMillis) throws SessionException {
+        String body =
+                "{\"organisation\":\""
+                        + ORGANISATION
+                        + "\",\"accelerators\":"
+                        + accelerators
+                        + ",\"estimateMillis\":1000,\"payload\":\"{\\\"runMillis\\\":"
+                        + runMillis
+                        + "}\"}";
+        return send("POST", callers(entry) + "/v1/jobs", body);
+    }
+
+    Reply job(String entry, String job) throws SessionException {
+        return send("GET", callers(entry) + "/v1/jobs/" + job, null);
+    }
+
+    void awaitJob(String entry, String job, String state) throws SessionException {
+        Wait.until(job + " is " + state, () -> job(entry, job).text("state").equals(state));
+    }
+
+    Reply send(String method, String url, String body, String... headers) throws SessionException {
+        HttpRequest.Builder request =
+                HttpRequest.newBuilder(URI.create("http://" + url))
+                        .method(
+                                method,
+                                body == null
+                                        ? HttpRequest.BodyPublishers.noBody()
+                                        : HttpRequest.BodyPublishers.ofString(body));
+        if (headers.length > 0) {
+            request.headers(headers);
+        }
+        try {
+            HttpResponse<String> response =
+                    http.send(request.build(), HttpResponse.BodyHandlers.ofString());
+            String text = response.body();
+            boolean json = text.startsWith("{");
+            return new Reply(
+                    response.statusCode(),
+                    json ? MAPPER.readTree(text) : MAPPER.createObjectNode());
+        } catch (IOException e) {
+            throw new SessionException(method + " " + url + ": " + e);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            throw new SessionException("interrupted");
+        }
+    }
+
+    private int raw(String method, String url, String body) throws SessionException {
+        return send(method, url, body).status();
+    }
+
+    /** Takes an entry's event loop away at once, as a crash would; its sockets close unsaid. */
+    void crash(String entry) {
+        Vertx loop = entryLoops.remove(entry);
+        loops.remove(loop);
+        loop.closeAndAwait();
+        entries.remove(entry);
+        list.remove(entry);
+    }
+
+    private static Instance instance(
+            String name, Instance.Role role, String site, int port, int peerPort, boolean leaving) {
+        return new Instance(
+                name, role, DataCentreId.of(site), "gauteng", HOST, port, peerPort, leaving);
+    }
+
+    private Vertx loop() {
+        VertxOptions options =
+                new VertxOptions()
+                        .setEventLoopPoolSize(1)
+                        .setWorkerPoolSize(1)
+                        .setInternalBlockingPoolSize(1);
+        Vertx vertx = Vertx.vertx(options);
+        loops.add(vertx);
+        return vertx;
+    }
+
+    @Override
+    public void close() {
+        loops.forEach(Vertx::closeAndAwait);
+    }
+}
--- a/standin/src/main/java/io/cardamomshelf/standin/LeaseBook.java
+++ b/standin/src/main/java/io/cardamomshelf/standin/LeaseBook.java
@@ -131,8 +131,8 @@
 
     void renew(WorkerCommand.Renewal renewal, long ttlMillis, long nowMillis) {
         Held held = current(new WorkerCommand.Step(renewal.job(), renewal.token(), 0), nowMillis);
-        if (held != null && !held.state.isEnded()) {
-            held.expiresAt = nowMillis + ttlMillis;
+        if (held != null) {
+            held.expiresAt = Math.max(held.expiresAt, nowMillis + ttlMillis);
         }
     }
 
