--- a/core/src/main/java/io/cardamomshelf/core/fleet/Allocation.java
+++ b/core/src/main/java/io/cardamomshelf/core/fleet/Allocation.java
@@ -3,6 +3,7 @@
 import io.cardamomshelf.core.base.Checks;
 import io.cardamomshelf.core.base.JobId;
 import io.cardamomshelf.core.base.OrganisationId;
+import io.cardamomshelf.core.base.WorkerId;
 import java.util.List;
 
 /**
@@ -17,6 +18,7 @@
  * @param block the whole guaranteed block that it claims, of which it may use a part, not null,
  *     empty if it borrows
  * @param startedMillis when it was placed, in milliseconds
+ * @param estimateMillis its declared run time, in milliseconds
  */
 public record Allocation(
         JobId job,
@@ -24,7 +26,8 @@
         Demand demand,
         Placement placement,
         List<Slice> block,
-        long startedMillis) {
+        long startedMillis,
+        long estimateMillis) {
 
     /**
      * Creates an allocation.
@@ -48,6 +51,19 @@
         return !block.isEmpty();
     }
 
+    /**
+     * Returns how many accelerators the job uses on a worker.
+     *
+     * @param worker the worker, not null
+     * @return the number, 0 if none
+     */
+    public int acceleratorsOn(WorkerId worker) {
+        return placement.slices().stream()
+                .filter(slice -> slice.worker().equals(worker))
+                .mapToInt(Slice::accelerators)
+                .sum();
+    }
+
     /**
      * Returns the whole guaranteed block as cells.
      *
--- a/core/src/main/java/io/cardamomshelf/core/fleet/CellIndex.java
+++ b/core/src/main/java/io/cardamomshelf/core/fleet/CellIndex.java
@@ -187,13 +187,27 @@
     void give(Placement placement, Demand demand, ToLongFunction<WorkerId> kept) {
         for (Slice slice : placement.slices()) {
             change(slice, demand, 1);
-            WorkerCells cells = workers.get(slice.worker());
-            long others = kept.applyAsLong(slice.worker()) & slice.mask();
-            if (cells != null && others != 0) {
-                unlink(cells);
-                cells.change(new Slice(slice.worker(), others), NOTHING, -1);
-                link(cells);
-            }
+            withhold(slice, kept.applyAsLong(slice.worker()));
+        }
+    }
+
+    void withhold(Slice slice) {
+        change(slice, NOTHING, -1);
+    }
+
+    void restore(Slice slice, long kept) {
+        change(slice, NOTHING, 1);
+        withhold(slice, kept);
+    }
+
+    long mask(WorkerId worker) {
+        return workers.get(worker).mask();
+    }
+
+    private void withhold(Slice slice, long kept) {
+        long others = kept & slice.mask();
+        if (others != 0) {
+            withhold(new Slice(slice.worker(), others));
         }
     }
 
--- a/core/src/main/java/io/cardamomshelf/core/fleet/Fleet.java
+++ b/core/src/main/java/io/cardamomshelf/core/fleet/Fleet.java
@@ -4,6 +4,7 @@
 import io.cardamomshelf.core.base.JobId;
 import io.cardamomshelf.core.base.OrganisationId;
 import io.cardamomshelf.core.base.WorkerId;
+import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Collections;
 import java.util.HashMap;
@@ -31,6 +32,7 @@
         private final CellIndex free;
         private final CellIndex reclaimable;
         private final CellIndex all;
+        private final Map<WorkerId, Worker> workers = new LinkedHashMap<>();
         private int coresEach = Integer.MAX_VALUE;
         private int memoryMbEach = Integer.MAX_VALUE;
 
@@ -64,6 +66,7 @@
         cells.free.put(worker);
         cells.reclaimable.put(worker);
         cells.all.put(worker);
+        cells.workers.put(worker.id(), worker);
         for (JobId job : jobsOn(worker.id())) {
             takeOn(cells, allocations.get(job), worker.id());
         }
@@ -85,6 +88,7 @@
         cells.free.remove(worker);
         cells.reclaimable.remove(worker);
         cells.all.remove(worker);
+        cells.workers.remove(worker);
         return true;
     }
 
@@ -193,6 +197,57 @@
         return used.getOrDefault(organisation, 0);
     }
 
+    /**
+     * Returns the workers of a data centre.
+     *
+     * @param dataCentre the data centre, not null
+     * @return the workers that are there now, never null
+     */
+    public Collection<Worker> workersIn(DataCentreId dataCentre) {
+        return Collections.unmodifiableCollection(cells(dataCentre).workers.values());
+    }
+
+    /**
+     * Returns how many accelerators of a worker are free.
+     *
+     * @param worker the worker, not null
+     * @return the number, 0 if the worker isn't there
+     */
+    public int freeOn(WorkerId worker) {
+        return worker(worker)
+                .map(known -> Long.bitCount(cells(known.dataCentre()).free.mask(worker)))
+                .orElse(0);
+    }
+
+    /**
+     * Takes the free cells of some workers out of the index of free cells, until they are restored.
+     *
+     * @param dataCentre where the workers are, not null
+     * @param withheld the workers, not null
+     * @return the cells that were withheld, never null
+     */
+    public List<Slice> withhold(DataCentreId dataCentre, List<WorkerId> withheld) {
+        List<Slice> slices = new ArrayList<>();
+        for (WorkerId worker : withheld) {
+            long mask = workers.containsKey(worker) ? free(dataCentre).mask(worker) : 0;
+            if (mask != 0) {
+                slices.add(new Slice(worker, mask));
+            }
+        }
+        slices.forEach(slice -> free(dataCentre).withhold(slice));
+        return slices;
+    }
+
+    /**
+     * Gives withheld cells back, but for those that a job has been given meanwhile.
+     *
+     * @param dataCentre where the workers are, not null
+     * @param withheld the cells, not null
+     */
+    public void restore(DataCentreId dataCentre, List<Slice> withheld) {
+        withheld.forEach(slice -> free(dataCentre).restore(slice, heldOn(slice.worker())));
+    }
+
     /**
      * Returns a worker.
      *
--- a/core/src/main/java/io/cardamomshelf/core/job/Decision.java
+++ b/core/src/main/java/io/cardamomshelf/core/job/Decision.java
@@ -22,8 +22,9 @@
      * Leave the job in the queue.
      *
      * @param why the reason, for people, not null
+     * @param scarce whether it waits for cells that others use
      */
-    record Wait(String why) implements Decision {}
+    record Wait(String why, boolean scarce) implements Decision {}
 
     /**
      * Refuse the job, for it can never run.
--- a/core/src/main/java/io/cardamomshelf/core/job/Placer.java
+++ b/core/src/main/java/io/cardamomshelf/core/job/Placer.java
@@ -69,7 +69,8 @@
         int quota = config.plan(spec.organisation()).map(Plan::quota).orElse(0);
         int used = fleet.used(spec.organisation());
         if (used + spec.demand().accelerators() > quota) {
-            return new Decision.Wait("quota: " + used + " of " + quota + " accelerators in use");
+            return new Decision.Wait(
+                    "quota: " + used + " of " + quota + " accelerators in use", false);
         }
         List<DataCentreId> where =
                 fleet.dataCentres().stream()
@@ -77,11 +78,11 @@
                         .filter(startable)
                         .toList();
         if (where.isEmpty()) {
-            return new Decision.Wait("no granted data centre may start work now");
+            return new Decision.Wait("no granted data centre may start work now", false);
         }
         return claim(id, spec, where, nowMillis)
                 .or(() -> borrow(id, spec, where, nowMillis))
-                .orElseGet(() -> new Decision.Wait(scarcity(spec, where)));
+                .orElseGet(() -> new Decision.Wait(scarcity(spec, where), true));
     }
 
     /**
@@ -167,7 +168,14 @@
 
     private static Allocation allocation(
             JobId id, JobSpec spec, Placement cells, List<Slice> block, long nowMillis) {
-        return new Allocation(id, spec.organisation(), spec.demand(), cells, block, nowMillis);
+        return new Allocation(
+                id,
+                spec.organisation(),
+                spec.demand(),
+                cells,
+                block,
+                nowMillis,
+                spec.estimateMillis());
     }
 
     /** Tries the allocation on the books and takes it back. */
--- a/entry/src/main/java/io/cardamomshelf/entry/FleetFollower.java
+++ b/entry/src/main/java/io/cardamomshelf/entry/FleetFollower.java
@@ -191,6 +191,7 @@
                 note.spec().demand(),
                 note.placement(),
                 note.block(),
-                Clock.millis());
+                Clock.millis(),
+                note.spec().estimateMillis());
     }
 }
--- a/entry/src/main/java/io/cardamomshelf/entry/JobRunner.java
+++ b/entry/src/main/java/io/cardamomshelf/entry/JobRunner.java
@@ -7,10 +7,10 @@
 import io.cardamomshelf.core.fleet.Allocation;
 import io.cardamomshelf.core.job.Books;
 import io.cardamomshelf.core.job.Decision;
-import io.cardamomshelf.core.job.JobQueue;
+import io.cardamomshelf.core.job.Dispatcher;
+import io.cardamomshelf.core.job.Estimates;
 import io.cardamomshelf.core.job.JobRecord;
 import io.cardamomshelf.core.job.JobTable;
-import io.cardamomshelf.core.job.Placer;
 import io.cardamomshelf.core.lease.GangAction;
 import io.cardamomshelf.core.lease.GangNote;
 import io.cardamomshelf.core.lease.GangTable;
@@ -37,6 +37,7 @@
 final class JobRunner {
 
     private static final int MAX_FAILURES = 3;
+    private static final int TRUSTED_PERCENT = 75;
 
     private final Self self;
     private final JobTable table;
@@ -45,6 +46,8 @@
     private final JobLog log;
     private final Events events;
     private final Predicate<DataCentreId> startable;
+    private final Estimates estimates = new Estimates(TRUSTED_PERCENT);
+    private final Dispatcher dispatcher;
     private final Map<JobId, Integer> attempts = new HashMap<>();
     private final Map<JobId, String> waits = new HashMap<>();
     private final Set<JobId> busy = new HashSet<>();
@@ -69,6 +72,7 @@
         this.log = log;
         this.events = events;
         this.startable = startable;
+        this.dispatcher = new Dispatcher(books, estimates);
     }
 
     void follow(FleetFollower follower) {
@@ -138,19 +142,14 @@
     }
 
     private void place(List<JobTable.Job> waiting) {
-        Placer placer = books.placer(startable);
-        for (JobTable.Job job : JobQueue.order(waiting, books)) {
-            if (busy.contains(job.id())) {
-                continue;
-            }
-            Decision decision = placer.decide(job.id(), job.spec(), Clock.millis());
-            if (decision instanceof Decision.Place place) {
-                runOrWait(job, place);
-            } else if (decision instanceof Decision.Never never) {
+        for (Dispatcher.Planned planned : dispatcher.round(waiting, startable, Clock.millis())) {
+            if (planned.decision() instanceof Decision.Place place) {
+                runOrWait(planned.job(), place);
+            } else if (planned.decision() instanceof Decision.Never never) {
                 // A worker may be away for now; what was accepted waits for its return.
-                waits(job, never.why());
-            } else if (decision instanceof Decision.Wait wait) {
-                waits(job, wait.why());
+                waits(planned.job(), never.why());
+            } else if (planned.decision() instanceof Decision.Wait wait) {
+                waits(planned.job(), wait.why());
             }
         }
     }
@@ -164,6 +163,8 @@
     private void runOrWait(JobTable.Job job, Decision.Place place) {
         boolean changing = place.victims().stream().anyMatch(victim -> busy.contains(victim.job()));
         if (changing) {
+            books.release(job.id());
+            place.victims().forEach(books::allocate);
             waits(job, "a job that must make room is changing");
         } else {
             run(job, place);
@@ -179,7 +180,6 @@
         busy.add(id);
         waits.remove(id);
         List<Uni<Void>> evictions = place.victims().stream().map(v -> evict(v, id)).toList();
-        books.allocate(made);
         events.publish(EventType.JOB_PLACED, id.value(), describe(made));
         Uni<Void> room =
                 evictions.isEmpty()
@@ -232,7 +232,6 @@
     private Uni<Void> evict(Allocation victim, JobId claimant) {
         events.publish(EventType.JOB_RECLAIMED, victim.job().value(), claimant.value(), "");
         long token = fleet.token(victim.job(), victim.placement());
-        books.release(victim.job());
         changedMillis.put(victim.job(), Clock.millis());
         return gangs.stop(victim.job(), victim.placement(), token);
     }
@@ -296,6 +295,7 @@
                 .with(
                         done -> {
                             books.release(job.id());
+                            learn(cells, result);
                             EventType type =
                                     result == JobRecord.Result.CANCELLED
                                             ? EventType.JOB_CANCELLED
@@ -305,6 +305,13 @@
                         failure -> {});
     }
 
+    private void learn(Allocation ended, JobRecord.Result result) {
+        if (result == JobRecord.Result.SUCCEEDED) {
+            long ranMillis = Clock.millis() - ended.startedMillis();
+            estimates.plus(ended.organisation(), ended.estimateMillis(), ranMillis);
+        }
+    }
+
     private void end(JobTable.Job job, JobRecord.Result result, String detail) {
         busy.add(job.id());
         log.append(new JobRecord.Ended(job.id(), result, detail))
