--- a/bench/src/main/java/io/cardamomshelf/bench/FirstFitScheduler.java
+++ b/bench/src/main/java/io/cardamomshelf/bench/FirstFitScheduler.java
@@ -110,7 +110,7 @@
     public Set<JobId> out(Set<DataCentreId> sites) {
         out = Set.copyOf(sites);
         Set<JobId> leaving = new TreeSet<>();
-        Map.copyOf(running)
+        new LinkedHashMap<>(running)
                 .forEach(
                         (job, parts) -> {
                             if (!isIn(parts.get(0).worker())) {
--- a/core/src/main/java/io/cardamomshelf/core/fleet/Slice.java
+++ b/core/src/main/java/io/cardamomshelf/core/fleet/Slice.java
@@ -27,6 +27,17 @@
         }
     }
 
+    /**
+     * Makes a slice of a worker's first accelerators.
+     *
+     * @param worker the worker, not null
+     * @param count how many, 1 to 64
+     * @return the slice, never null
+     */
+    public static Slice first(WorkerId worker, int count) {
+        return new Slice(worker, WorkerCells.lowBits(count));
+    }
+
     /**
      * Returns the number of accelerators.
      *
--- a/core/src/main/java/io/cardamomshelf/core/job/Dispatcher.java
+++ b/core/src/main/java/io/cardamomshelf/core/job/Dispatcher.java
@@ -1,28 +1,33 @@
 package io.cardamomshelf.core.job;
 
 import io.cardamomshelf.core.base.DataCentreId;
+import io.cardamomshelf.core.base.JobId;
 import io.cardamomshelf.core.base.OrganisationId;
+import io.cardamomshelf.core.base.WorkerId;
 import io.cardamomshelf.core.fleet.Allocation;
 import io.cardamomshelf.core.fleet.Demand;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Predicate;
 
 /**
- * Decides a round of waiting jobs: the order, a place for each, and a reservation for the first
- * that has none, so that small work can't starve a large job.
+ * Decides a round of waiting jobs: a place for each, moves and reservations for the large ones that
+ * have none, so that small work can't starve them.
  *
  * <p>Use: {@code dispatcher.round(waiting, startable, now)}; what it places is allocated on the
  * books, and the victims are released from them. The caller releases a job again if its gang fails.
  *
- * <p>The reservation keeps the workers that will be free soonest for the first waiting job; a later
- * job takes their cells only if by its corrected run time it ends before they are needed (EASY
- * backfill). Jobs of one organisation and demand are decided once a round if the first of them has
- * to wait.
+ * <p>The large jobs that wait longest are decided first, in order of acceptance: they take free
+ * cells, else cells that small jobs are moved from, else the workers that will be free soonest are
+ * reserved for them. Then the others follow in the order of {@link JobQueue}; they take reserved
+ * cells only if by their corrected run time they end before those are needed (EASY backfill). Jobs
+ * of one organisation, demand and length are decided once a round if the first of them has to wait.
  *
  * <p>Not thread-safe: belongs to the instance's event loop.
  */
@@ -36,10 +41,18 @@
      */
     public record Planned(JobTable.Job job, Decision decision) {}
 
+    /** From how many accelerators a job counts as large: more than the usual worker has. */
+    private static final int LARGE = 9;
+
+    private static final int MOST_LARGE_AHEAD = 16;
+    private static final int MOST_RESERVATIONS = 3;
+    private static final int NOTHING_LEFT = 0;
+
     private record Kind(OrganisationId organisation, Demand demand, long estimateClass) {}
 
     private final Books books;
     private final Estimates estimates;
+    private final Mover mover;
 
     /**
      * Creates a dispatcher.
@@ -50,6 +63,7 @@
     public Dispatcher(Books books, Estimates estimates) {
         this.books = books;
         this.estimates = estimates;
+        this.mover = new Mover(books.fleet());
     }
 
     /**
@@ -58,69 +72,118 @@
      * @param waiting the jobs in order of acceptance, not null
      * @param startable where a task may start now, not null
      * @param nowMillis the time, in milliseconds
-     * @return the decided jobs in the order of their turn, never null; each job once
+     * @return the decided jobs, never null; each job once
      */
     public List<Planned> round(
             Collection<JobTable.Job> waiting, Predicate<DataCentreId> startable, long nowMillis) {
-        List<Planned> planned = new ArrayList<>();
-        Set<Kind> hopeless = new HashSet<>();
-        Optional<Reservation> reservation = Optional.empty();
-        Placer placer = books.placer(startable);
-        for (JobTable.Job job : JobQueue.order(waiting, books)) {
+        return new Round(startable, nowMillis).decide(waiting);
+    }
+
+    /** The state of one round. */
+    private final class Round {
+        private final Predicate<DataCentreId> startable;
+        private final long nowMillis;
+        private final Placer placer;
+        private final Map<JobId, Planned> planned = new LinkedHashMap<>();
+        private final Set<Kind> hopeless = new HashSet<>();
+        private final List<Reservation> reservations = new ArrayList<>();
+        private final Set<WorkerId> reserved = new HashSet<>();
+
+        Round(Predicate<DataCentreId> startable, long nowMillis) {
+            this.startable = startable;
+            this.nowMillis = nowMillis;
+            this.placer = books.placer(startable);
+        }
+
+        List<Planned> decide(Collection<JobTable.Job> waiting) {
+            List<JobTable.Job> ordered = JobQueue.order(waiting, books);
+            ordered.stream().filter(job -> books.isClaimable(job.spec())).forEach(this::decideNext);
+            waiting.stream()
+                    .filter(job -> job.spec().demand().accelerators() >= LARGE)
+                    .filter(job -> !planned.containsKey(job.id()))
+                    .limit(MOST_LARGE_AHEAD)
+                    .forEach(this::decideLarge);
+            ordered.stream()
+                    .filter(job -> !planned.containsKey(job.id()))
+                    .forEach(this::decideNext);
+            reservations.forEach(Reservation::release);
+            return List.copyOf(planned.values());
+        }
+
+        private void decideLarge(JobTable.Job job) {
+            Decision decision = placer.decide(job.id(), job.spec(), nowMillis);
+            if (isScarce(decision)) {
+                decision = moved(job).<Decision>map(place -> place).orElse(decision);
+            }
+            if (isScarce(decision) && reservations.size() < MOST_RESERVATIONS) {
+                Reservation.of(job.spec(), books, this::endMillis, startable, reserved, nowMillis)
+                        .ifPresent(this::reserve);
+            }
+            plan(job, decision);
+        }
+
+        private Optional<Decision.Place> moved(JobTable.Job job) {
+            return books.fleet().dataCentres().stream()
+                    .filter(site -> books.config().isGranted(job.spec().organisation(), site))
+                    .filter(startable)
+                    .flatMap(site -> mover.find(job.id(), job.spec(), site, nowMillis).stream())
+                    .findFirst();
+        }
+
+        private void reserve(Reservation reservation) {
+            reservation.hold();
+            reservations.add(reservation);
+            reserved.addAll(reservation.workers());
+        }
+
+        private void decideNext(JobTable.Job job) {
             Kind kind = kind(job.spec());
             if (hopeless.contains(kind)) {
-                planned.add(new Planned(job, new Decision.Wait("as others of its kind", true)));
-                continue;
+                plan(job, new Decision.Wait("as others of its kind", true));
+                return;
             }
-            Decision decision = decide(placer, job, reservation, nowMillis);
-            planned.add(new Planned(job, decision));
-            if (decision instanceof Decision.Place place) {
-                enter(place);
+            Decision decision = placer.decide(job.id(), job.spec(), nowMillis);
+            if (isScarce(decision) && isEndingInTime(job.spec())) {
+                reservations.forEach(Reservation::release);
+                decision = placer.decide(job.id(), job.spec(), nowMillis);
+                plan(job, decision);
+                reservations.forEach(Reservation::hold);
             } else {
-                hopeless.add(kind);
+                plan(job, decision);
             }
-            boolean scarce = decision instanceof Decision.Wait wait && wait.scarce();
-            if (scarce && reservation.isEmpty()) {
-                reservation =
-                        Reservation.of(job.spec(), books, this::endMillis, startable, nowMillis);
-                reservation.ifPresent(Reservation::hold);
+            if (!(decision instanceof Decision.Place)) {
+                hopeless.add(kind);
             }
         }
-        reservation.ifPresent(Reservation::release);
-        return planned;
-    }
 
-    private Decision decide(
-            Placer placer, JobTable.Job job, Optional<Reservation> reservation, long nowMillis) {
-        Decision decision = placer.decide(job.id(), job.spec(), nowMillis);
-        boolean fillsIn =
-                decision instanceof Decision.Wait wait
-                        && wait.scarce()
-                        && reservation.isPresent()
-                        && nowMillis + estimates.corrected(job.spec())
-                                <= reservation.get().neededMillis();
-        if (!fillsIn) {
-            return decision;
+        private void plan(JobTable.Job job, Decision decision) {
+            planned.put(job.id(), new Planned(job, decision));
+            if (decision instanceof Decision.Place place) {
+                place.victims().forEach(victim -> books.release(victim.job()));
+                books.allocate(place.allocation());
+            }
         }
-        reservation.get().release();
-        Decision again = placer.decide(job.id(), job.spec(), nowMillis);
-        if (again instanceof Decision.Place place) {
-            enter(place);
+
+        private boolean isEndingInTime(JobSpec spec) {
+            long needed =
+                    reservations.stream()
+                            .mapToLong(Reservation::neededMillis)
+                            .min()
+                            .orElse(NOTHING_LEFT);
+            return nowMillis + estimates.corrected(spec) <= needed;
         }
-        reservation.get().hold();
-        return again;
-    }
 
-    private void enter(Decision.Place place) {
-        place.victims().forEach(victim -> books.release(victim.job()));
-        books.allocate(place.allocation());
+        /** Returns when a running job should end; one over its time is given as much again. */
+        private long endMillis(Allocation running) {
+            long started = running.startedMillis();
+            long end =
+                    started + estimates.corrected(running.organisation(), running.estimateMillis());
+            return end > nowMillis ? end : nowMillis + Math.max(1, nowMillis - started);
+        }
     }
 
-    /** Returns when a running job should end; one that is over its time is given as much again. */
-    private long endMillis(Allocation running, long nowMillis) {
-        long time = estimates.corrected(running.organisation(), running.estimateMillis());
-        long end = running.startedMillis() + time;
-        return end > nowMillis ? end : nowMillis + Math.max(1, nowMillis - running.startedMillis());
+    private static boolean isScarce(Decision decision) {
+        return decision instanceof Decision.Wait wait && wait.scarce();
     }
 
     private Kind kind(JobSpec spec) {
--- a/core/src/main/java/io/cardamomshelf/core/job/Reservation.java
+++ b/core/src/main/java/io/cardamomshelf/core/job/Reservation.java
@@ -15,6 +15,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.Predicate;
 
 /**
@@ -26,7 +27,7 @@
 
     /** Estimates when a running job ends. */
     interface Ends {
-        long endMillis(Allocation running, long nowMillis);
+        long endMillis(Allocation running);
     }
 
     private record Ready(Worker worker, long millis) {}
@@ -50,11 +51,13 @@
             Books books,
             Ends ends,
             Predicate<DataCentreId> startable,
+            Set<WorkerId> reserved,
             long nowMillis) {
         Optional<Reservation> best = Optional.empty();
         for (DataCentreId site : books.fleet().dataCentres()) {
             if (books.config().isGranted(spec.organisation(), site) && startable.test(site)) {
-                Optional<Reservation> here = in(site, spec.demand(), books, ends, nowMillis);
+                Optional<Reservation> here =
+                        in(site, spec.demand(), books, ends, reserved, nowMillis);
                 boolean sooner =
                         here.isPresent()
                                 && (best.isEmpty()
@@ -65,6 +68,10 @@
         return best;
     }
 
+    List<WorkerId> workers() {
+        return workers;
+    }
+
     /** Returns when the reserved workers should be free, in milliseconds. */
     long neededMillis() {
         return neededMillis;
@@ -80,9 +87,17 @@
     }
 
     private static Optional<Reservation> in(
-            DataCentreId site, Demand demand, Books books, Ends ends, long nowMillis) {
+            DataCentreId site,
+            Demand demand,
+            Books books,
+            Ends ends,
+            Set<WorkerId> reserved,
+            long nowMillis) {
         Map<String, List<Ready>> groups = new HashMap<>();
         for (Worker worker : books.fleet().workersIn(site)) {
+            if (reserved.contains(worker.id())) {
+                continue;
+            }
             String group =
                     switch (demand.adjacency()) {
                         case WORKER -> worker.id().value();
@@ -136,14 +151,14 @@
         for (JobId job : books.fleet().jobsOn(worker.id())) {
             books.fleet().allocation(job).ifPresent(running::add);
         }
-        running.sort(Comparator.comparingLong(one -> ends.endMillis(one, nowMillis)));
+        running.sort(Comparator.comparingLong(one -> ends.endMillis(one)));
         long ready = nowMillis;
         for (Allocation one : running) {
             if (free >= wanted) {
                 break;
             }
             free += one.acceleratorsOn(worker.id());
-            ready = ends.endMillis(one, nowMillis);
+            ready = ends.endMillis(one);
         }
         return ready;
     }
