What must always hold, under switched failures; checkpoints; three faults mended

Cause of each fault that the new tests found: 1. a repeat of a key through another instance answered MAY_HAVE_RUN though the owner lived: the peer connection was not up yet; 2. two instances racing with one key: the loser asked the winner before the winner had noted its own attempt; 3. a gang whose worker froze right after its start was put back in the queue without an event (its leases lapsed first). Change: a question waits for the connection inside its bound; an attempt is noted before its claim is appended; a job that no worker reports any more says so. Checkpoint before a move, kept in the log; jobs leave a data centre that is taken out; the fullest data centre first and the least move of all data centres.

--- a/bench/src/main/java/io/cardamomshelf/bench/ProductScheduler.java
+++ b/bench/src/main/java/io/cardamomshelf/bench/ProductScheduler.java
@@ -46,7 +46,13 @@
     public void submit(SimJob job) {
         JobTable.Job entry =
                 new JobTable.Job(
-                        job.id(), job.spec(), InstanceId.of("bench"), 1, false, Optional.empty());
+                        job.id(),
+                        job.spec(),
+                        InstanceId.of("bench"),
+                        1,
+                        false,
+                        "",
+                        Optional.empty());
         waiting.put(job.id(), entry);
     }
 
--- a/core/src/main/java/io/cardamomshelf/core/job/Dispatcher.java
+++ b/core/src/main/java/io/cardamomshelf/core/job/Dispatcher.java
@@ -8,6 +8,7 @@
 import io.cardamomshelf.core.fleet.Demand;
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Comparator;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -122,12 +123,13 @@
             plan(job, decision);
         }
 
+        /** Moves the least of all data centres. */
         private Optional<Decision.Place> moved(JobTable.Job job) {
             return books.fleet().dataCentres().stream()
                     .filter(site -> books.config().isGranted(job.spec().organisation(), site))
                     .filter(startable)
                     .flatMap(site -> mover.find(job.id(), job.spec(), site, nowMillis).stream())
-                    .findFirst();
+                    .min(Comparator.comparingInt(Dispatcher::moved));
         }
 
         private void reserve(Reservation reservation) {
@@ -182,6 +184,10 @@
         }
     }
 
+    private static int moved(Decision.Place place) {
+        return place.victims().stream().mapToInt(v -> v.demand().accelerators()).sum();
+    }
+
     private static boolean isScarce(Decision decision) {
         return decision instanceof Decision.Wait wait && wait.scarce();
     }
--- a/core/src/main/java/io/cardamomshelf/core/job/JobRecord.java
+++ b/core/src/main/java/io/cardamomshelf/core/job/JobRecord.java
@@ -37,6 +37,14 @@
      */
     record Claimed(JobId job, long basedOn, InstanceId owner) implements JobRecord {}
 
+    /**
+     * A job was checkpointed before it was stopped, to go on elsewhere.
+     *
+     * @param job the job, not null
+     * @param checkpoint what its members resume from, opaque, not null
+     */
+    record Checkpointed(JobId job, String checkpoint) implements JobRecord {}
+
     /**
      * A job's caller cancelled it.
      *
--- a/core/src/main/java/io/cardamomshelf/core/job/JobTable.java
+++ b/core/src/main/java/io/cardamomshelf/core/job/JobTable.java
@@ -31,6 +31,7 @@
      * @param ownerOffset the offset of the record that named the owner; the fencing token of its
      *     leases
      * @param cancelled whether its caller cancelled it
+     * @param checkpoint what it resumes from, not null, empty to begin anew
      * @param end how it ended, not null, empty while it hasn't
      */
     public record Job(
@@ -39,8 +40,25 @@
             InstanceId owner,
             long ownerOffset,
             boolean cancelled,
+            String checkpoint,
             Optional<JobRecord.Ended> end) {
 
+        private Job withOwner(InstanceId newOwner, long offset) {
+            return new Job(id, spec, newOwner, offset, cancelled, checkpoint, end);
+        }
+
+        private Job withCancellation() {
+            return new Job(id, spec, owner, ownerOffset, true, checkpoint, end);
+        }
+
+        private Job withCheckpoint(String latest) {
+            return new Job(id, spec, owner, ownerOffset, cancelled, latest, end);
+        }
+
+        private Job withEnd(JobRecord.Ended ended) {
+            return new Job(id, spec, owner, ownerOffset, cancelled, checkpoint, Optional.of(ended));
+        }
+
         /**
          * Asks whether the job still has to be run.
          *
@@ -100,7 +118,10 @@
         } else if (record instanceof JobRecord.Claimed claimed) {
             claim(recordOffset, claimed);
         } else if (record instanceof JobRecord.Cancelled cancelled) {
-            cancel(cancelled);
+            open.computeIfPresent(cancelled.job(), (id, job) -> job.withCancellation());
+        } else if (record instanceof JobRecord.Checkpointed checkpointed) {
+            String latest = checkpointed.checkpoint();
+            open.computeIfPresent(checkpointed.job(), (id, job) -> job.withCheckpoint(latest));
         } else if (record instanceof JobRecord.Ended end) {
             end(end);
         }
@@ -116,42 +137,27 @@
     }
 
     private void accept(long recordOffset, JobRecord.Accepted accepted) {
-        if (job(accepted.job()).isPresent()) {
-            return;
-        }
-        open.put(
-                accepted.job(),
-                new Job(
-                        accepted.job(),
-                        accepted.spec(),
-                        accepted.owner(),
-                        recordOffset,
-                        false,
-                        Optional.empty()));
-    }
-
-    private void claim(long recordOffset, JobRecord.Claimed claimed) {
-        Job job = open.get(claimed.job());
-        if (job != null && job.ownerOffset() == claimed.basedOn()) {
-            open.put(
-                    job.id(),
+        if (job(accepted.job()).isEmpty()) {
+            Job job =
                     new Job(
-                            job.id(),
-                            job.spec(),
-                            claimed.owner(),
+                            accepted.job(),
+                            accepted.spec(),
+                            accepted.owner(),
                             recordOffset,
-                            job.cancelled(),
-                            job.end()));
+                            false,
+                            "",
+                            Optional.empty());
+            open.put(job.id(), job);
         }
     }
 
-    private void cancel(JobRecord.Cancelled cancelled) {
-        Job job = open.get(cancelled.job());
-        if (job != null) {
-            open.put(
-                    job.id(),
-                    new Job(job.id(), job.spec(), job.owner(), job.ownerOffset(), true, job.end()));
-        }
+    private void claim(long recordOffset, JobRecord.Claimed claimed) {
+        open.computeIfPresent(
+                claimed.job(),
+                (id, job) ->
+                        job.ownerOffset() == claimed.basedOn()
+                                ? job.withOwner(claimed.owner(), recordOffset)
+                                : job);
     }
 
     private void end(JobRecord.Ended end) {
@@ -159,15 +165,7 @@
         if (job == null) {
             return;
         }
-        ended.put(
-                job.id(),
-                new Job(
-                        job.id(),
-                        job.spec(),
-                        job.owner(),
-                        job.ownerOffset(),
-                        job.cancelled(),
-                        Optional.of(end)));
+        ended.put(job.id(), job.withEnd(end));
         if (ended.size() > ENDED_KEPT) {
             ended.remove(ended.keySet().iterator().next());
         }
--- a/core/src/main/java/io/cardamomshelf/core/job/Placer.java
+++ b/core/src/main/java/io/cardamomshelf/core/job/Placer.java
@@ -11,6 +11,7 @@
 import io.cardamomshelf.core.fleet.Placement;
 import io.cardamomshelf.core.fleet.Slice;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Optional;
@@ -150,7 +151,10 @@
 
     private Optional<Decision> borrow(
             JobId id, JobSpec spec, List<DataCentreId> where, long nowMillis) {
-        for (DataCentreId site : where) {
+        // The fullest data centre first, so that the others keep their large cells.
+        List<DataCentreId> fullestFirst = new ArrayList<>(where);
+        fullestFirst.sort(Comparator.comparingLong(site -> fleet.free(site).freeAccelerators()));
+        for (DataCentreId site : fullestFirst) {
             Optional<Placement> cells = fleet.free(site).find(spec.demand());
             if (cells.isPresent()) {
                 Allocation made = allocation(id, spec, cells.get(), List.of(), nowMillis);
--- a/entry/src/main/java/io/cardamomshelf/entry/EntryInstance.java
+++ b/entry/src/main/java/io/cardamomshelf/entry/EntryInstance.java
@@ -116,7 +116,13 @@
         takeover = new Takeover(self, table, members, jobLog, events);
         fleet =
                 new FleetFollower(
-                        members, workers, books, events, runner::isChanging, runner::renewals);
+                        members,
+                        workers,
+                        books,
+                        events,
+                        runner::isChanging,
+                        runner::renewals,
+                        runner::gone);
         runner.follow(fleet);
         int connections = settings.limits().upstreamConnections();
         chooser = new UpstreamChooser(self.dataCentre(), self.region(), connections);
--- a/entry/src/main/java/io/cardamomshelf/entry/FleetFollower.java
+++ b/entry/src/main/java/io/cardamomshelf/entry/FleetFollower.java
@@ -22,6 +22,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Consumer;
 import java.util.function.Function;
 
 /**
@@ -58,6 +59,7 @@
     private final Events events;
     private final Changing changing;
     private final Function<WorkerId, List<WorkerCommand.Renewal>> renewals;
+    private final Consumer<JobId> gone;
     private final Map<WorkerId, Seen> seen = new HashMap<>();
     private final Set<WorkerId> polling = new HashSet<>();
 
@@ -66,6 +68,7 @@
      *
      * @param changing tells the jobs whose cells this instance is changing itself
      * @param renewals gives the leases to renew on a worker
+     * @param gone takes the jobs of which no worker reports a lease any more
      */
     FleetFollower(
             Members members,
@@ -73,13 +76,15 @@
             Books books,
             Events events,
             Changing changing,
-            Function<WorkerId, List<WorkerCommand.Renewal>> renewals) {
+            Function<WorkerId, List<WorkerCommand.Renewal>> renewals,
+            Consumer<JobId> gone) {
         this.members = members;
         this.client = client;
         this.books = books;
         this.events = events;
         this.changing = changing;
         this.renewals = renewals;
+        this.gone = gone;
     }
 
     /** Polls every listed worker that isn't being polled, and drops those that are gone. */
@@ -180,7 +185,7 @@
                 sight(job, placement, Long.MIN_VALUE).stream()
                         .anyMatch(member -> member.lease().isPresent());
         if (!anywhere) {
-            books.release(job);
+            gone.accept(job);
         }
     }
 
--- a/entry/src/main/java/io/cardamomshelf/entry/GangClient.java
+++ b/entry/src/main/java/io/cardamomshelf/entry/GangClient.java
@@ -13,6 +13,7 @@
 import io.smallrye.mutiny.Uni;
 import java.util.List;
 import java.util.function.BiFunction;
+import java.util.function.Function;
 
 /**
  * Takes a gang through its steps on all members: hold, commit, start, or stop.
@@ -34,14 +35,19 @@
         this.client = client;
     }
 
-    Uni<Void> hold(GangNote note, long token) {
+    Uni<Void> hold(GangNote note, long token, String resume) {
         return onAll(
                 note.placement(),
                 (endpoint, slice) ->
                         client.hold(
                                 endpoint,
                                 new WorkerCommand.Hold(
-                                        note.job(), token, slice.mask(), HOLD_TTL_MILLIS, note)));
+                                        note.job(),
+                                        token,
+                                        slice.mask(),
+                                        HOLD_TTL_MILLIS,
+                                        note,
+                                        resume)));
     }
 
     /** Commits on the lead; a lost answer is asked for again, which the lead answers the same. */
@@ -60,6 +66,25 @@
                         client.start(endpoint, step).onFailure().retry().atMost(RETRIES));
     }
 
+    /** Checkpoints all members; empty if one can't, for a part of a gang can't be resumed. */
+    Uni<String> checkpoint(JobId job, Placement placement, long token) {
+        WorkerCommand.Step step = new WorkerCommand.Step(job, token, 0);
+        List<Uni<String>> calls =
+                placement.slices().stream()
+                        .map(
+                                slice ->
+                                        on(
+                                                slice.worker(),
+                                                endpoint -> client.checkpoint(endpoint, step)))
+                        .toList();
+        return Uni.join()
+                .all(calls)
+                .andCollectFailures()
+                .map(texts -> texts.get(0))
+                .onFailure()
+                .recoverWithItem("");
+    }
+
     /** Stops on all members; one that can't be reached lets its lease lapse. */
     Uni<Void> stop(JobId job, Placement placement, long token) {
         WorkerCommand.Step step = new WorkerCommand.Step(job, token, 0);
@@ -82,7 +107,7 @@
         return Uni.join().all(calls).andCollectFailures().replaceWithVoid();
     }
 
-    private Uni<Void> on(WorkerId worker, java.util.function.Function<Endpoint, Uni<Void>> call) {
+    private <T> Uni<T> on(WorkerId worker, Function<Endpoint, Uni<T>> call) {
         return members.endpoint(worker)
                 .map(call)
                 .orElseGet(
--- a/entry/src/main/java/io/cardamomshelf/entry/JobRunner.java
+++ b/entry/src/main/java/io/cardamomshelf/entry/JobRunner.java
@@ -54,6 +54,7 @@
     private final Map<JobId, Long> changedMillis = new HashMap<>();
     private final Set<JobId> whole = new HashSet<>();
     private final Map<JobId, Integer> failures = new HashMap<>();
+    private final Map<JobId, String> checkpoints = new HashMap<>();
     private FleetFollower fleet;
     private boolean leaving;
 
@@ -83,6 +84,15 @@
         leaving = true;
     }
 
+    /** Takes a job's cells off the books when no worker reports a lease of it any more. */
+    void gone(JobId id) {
+        books.release(id);
+        whole.remove(id);
+        if (owned(id).filter(JobTable.Job::isOpen).isPresent()) {
+            events.publish(EventType.GANG_ABORTED, id.value(), "no worker reports it any more");
+        }
+    }
+
     /** Asks whether a report asked for at a time may show the job's cells before a change. */
     boolean isChanging(JobId job, long sentMillis) {
         return busy.contains(job) || changedMillis.getOrDefault(job, Long.MIN_VALUE) >= sentMillis;
@@ -131,7 +141,8 @@
             }
         }
         place(waiting);
-        for (Map<JobId, ?> memory : List.of(attempts, waits, changedMillis, failures)) {
+        for (Map<JobId, ?> memory :
+                List.of(attempts, waits, changedMillis, failures, checkpoints)) {
             memory.keySet().removeIf(this::isEnded);
         }
         whole.removeIf(this::isEnded);
@@ -177,6 +188,7 @@
         int attempt = attempts.merge(id, 1, Integer::sum);
         long token = Tokens.of(job.ownerOffset(), attempt);
         GangNote note = new GangNote(id, job.spec(), made.placement(), made.block());
+        String resume = checkpoints.getOrDefault(id, job.checkpoint());
         busy.add(id);
         waits.remove(id);
         List<Uni<Void>> evictions = place.victims().stream().map(v -> evict(v, id)).toList();
@@ -185,7 +197,7 @@
                 evictions.isEmpty()
                         ? Uni.createFrom().voidItem()
                         : Uni.join().all(evictions).andCollectFailures().replaceWithVoid();
-        room.chain(() -> gangs.hold(note, token))
+        room.chain(() -> gangs.hold(note, token, resume))
                 .invoke(() -> events.publish(EventType.GANG_HELD, id.value(), ""))
                 .chain(() -> gangs.commit(id, made.placement(), token))
                 .invoke(() -> events.publish(EventType.GANG_COMMITTED, id.value(), ""))
@@ -228,12 +240,59 @@
                 .with(done -> {}, failure -> {});
     }
 
-    /** Stops a borrowed job for a guaranteed one; its owner queues it again. */
+    /** Checkpoints and stops a job that makes room for another; its owner queues it again. */
     private Uni<Void> evict(Allocation victim, JobId claimant) {
         events.publish(EventType.JOB_RECLAIMED, victim.job().value(), claimant.value(), "");
-        long token = fleet.token(victim.job(), victim.placement());
         changedMillis.put(victim.job(), Clock.millis());
-        return gangs.stop(victim.job(), victim.placement(), token);
+        return checkpointAndStop(victim);
+    }
+
+    /** Moves a job out of a data centre that was taken out, if another has room for it. */
+    private void evacuate(JobTable.Job job, Allocation cells) {
+        busy.add(job.id());
+        whole.remove(job.id());
+        String from = "out of " + cells.placement().dataCentre();
+        events.publish(EventType.JOB_RECLAIMED, job.id().value(), from);
+        checkpointAndStop(cells)
+                .onTermination()
+                .invoke(
+                        () -> {
+                            books.release(job.id());
+                            settle(job.id());
+                        })
+                .subscribe()
+                .with(done -> {}, failure -> {});
+    }
+
+    private Uni<Void> checkpointAndStop(Allocation victim) {
+        JobId id = victim.job();
+        long token = fleet.token(id, victim.placement());
+        return gangs.checkpoint(id, victim.placement(), token)
+                .chain(text -> keep(id, text))
+                .chain(() -> gangs.stop(id, victim.placement(), token));
+    }
+
+    /** Keeps a checkpoint in the log, so that any later owner resumes from it. */
+    private Uni<Void> keep(JobId id, String checkpoint) {
+        if (checkpoint.isEmpty()) {
+            return Uni.createFrom().voidItem();
+        }
+        checkpoints.put(id, checkpoint);
+        return log.append(new JobRecord.Checkpointed(id, checkpoint))
+                .onFailure()
+                .recoverWithNull()
+                .replaceWithVoid();
+    }
+
+    private boolean isToBeEvacuated(Allocation cells) {
+        DataCentreId site = cells.placement().dataCentre();
+        return !books.config().isIn(site)
+                && books.fleet().dataCentres().stream()
+                        .filter(other -> books.config().isGranted(cells.organisation(), other))
+                        .filter(startable)
+                        .anyMatch(
+                                other ->
+                                        books.fleet().free(other).find(cells.demand()).isPresent());
     }
 
     private void lookAfter(JobTable.Job job, Allocation cells) {
@@ -248,6 +307,10 @@
             // An ended gang's leases are renewed too, until its end is in the log.
             whole.add(job.id());
         }
+        if (action == GangAction.RENEW && isToBeEvacuated(cells)) {
+            evacuate(job, cells);
+            return;
+        }
         switch (action) {
             case START -> resume(job, cells);
             case FINISH -> finish(job, cells, JobRecord.Result.SUCCEEDED, "");
--- a/entry/src/main/java/io/cardamomshelf/entry/PeerNetwork.java
+++ b/entry/src/main/java/io/cardamomshelf/entry/PeerNetwork.java
@@ -21,6 +21,7 @@
 import io.vertx.mutiny.core.net.NetSocket;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.TreeSet;
 import java.util.function.BooleanSupplier;
@@ -39,8 +40,10 @@
     private static final int CONNECT_TIMEOUT_MILLIS = 1_000;
     private static final int IDLE_SECONDS = 5;
     private static final long QUERY_TIMEOUT_MILLIS = 3_000;
+    private static final long RECONNECT_CHECK_MILLIS = 50;
 
     private final Vertx vertx;
+    private final Timers timers;
     private final Self self;
     private final Events events;
     private final Members members;
@@ -63,6 +66,7 @@
             BooleanSupplier leaving,
             Function<PeerMessage.AnswerQuery, Uni<PeerMessage.AnswerReply>> answers) {
         this.vertx = vertx;
+        this.timers = new Timers(vertx);
         this.self = self;
         this.events = events;
         this.members = members;
@@ -115,18 +119,27 @@
                         });
     }
 
-    /**
-     * Asks another run for its attempt's answer; fails if that run isn't connected or is silent.
-     */
+    /** Asks another run for its attempt's answer; fails if that run can't be reached in time. */
     Uni<PeerMessage.AnswerReply> ask(InstanceId run, String attempt, String request) {
-        PeerConnection connection =
-                dialled.values().stream()
-                        .filter(other -> other.isRun(run))
-                        .findFirst()
-                        .orElse(null);
-        if (connection == null) {
+        return connection(run, Clock.millis() + QUERY_TIMEOUT_MILLIS)
+                .chain(connection -> ask(connection, attempt, request));
+    }
+
+    /** Waits for a connection, which may be about to be made after a start or a cut. */
+    private Uni<PeerConnection> connection(InstanceId run, long deadlineMillis) {
+        Optional<PeerConnection> connection =
+                dialled.values().stream().filter(other -> other.isRun(run)).findFirst();
+        if (connection.isPresent()) {
+            return Uni.createFrom().item(connection.get());
+        }
+        if (Clock.millis() > deadlineMillis) {
             return Uni.createFrom().failure(new IllegalStateException("not connected: " + run));
         }
+        return timers.pause(RECONNECT_CHECK_MILLIS).chain(() -> connection(run, deadlineMillis));
+    }
+
+    private Uni<PeerMessage.AnswerReply> ask(
+            PeerConnection connection, String attempt, String request) {
         long query = ++lastQuery;
         return Uni.createFrom()
                 .<PeerMessage.AnswerReply>emitter(
--- a/entry/src/main/java/io/cardamomshelf/entry/RequestRouter.java
+++ b/entry/src/main/java/io/cardamomshelf/entry/RequestRouter.java
@@ -113,20 +113,26 @@
             return ofWinner(requestId, winner.get(), call);
         }
         ClaimRecord claim = new ClaimRecord(call.organisation(), call.key(), requestId, self.run());
-        return timers.within(call.deadlineMillis(), claims.claim(claim))
-                .map(Optional::of)
-                .onFailure()
-                .recoverWithItem(Optional.empty())
-                .chain(
-                        held ->
-                                held.isPresent()
-                                        ? ofWinner(requestId, held.get(), call)
-                                        : Uni.createFrom().item(Answer.notRun(Reason.LOG_AWAY)));
+        // Remembered before the claim is in the log: another instance may see it there first and
+        // ask.
+        return remember(
+                requestId,
+                timers.within(call.deadlineMillis(), claims.claim(claim))
+                        .map(Optional::of)
+                        .onFailure()
+                        .recoverWithItem(Optional.empty())
+                        .chain(held -> ofClaim(requestId, held, call)));
+    }
+
+    private Uni<Answer> ofClaim(String requestId, Optional<ClaimRecord> held, RequestCall call) {
+        return held.isPresent()
+                ? ofWinner(requestId, held.get(), call)
+                : Uni.createFrom().item(Answer.notRun(Reason.LOG_AWAY));
     }
 
     private Uni<Answer> ofWinner(String requestId, ClaimRecord winner, RequestCall call) {
         if (winner.attempt().equals(requestId)) {
-            return remember(requestId, loop.run(requestId, call));
+            return loop.run(requestId, call);
         }
         events.publish(EventType.CLAIM_LOST, requestId, winner.attempt(), "");
         if (winner.owner().equals(self.run())) {
--- a/standin/src/main/java/io/cardamomshelf/standin/LeaseBook.java
+++ b/standin/src/main/java/io/cardamomshelf/standin/LeaseBook.java
@@ -31,6 +31,8 @@
         private LeaseState state = LeaseState.HELD;
         private long expiresAt;
         private long endsAt;
+        private long startedAt;
+        private long resumedMillis;
 
         Held(WorkerCommand.Hold hold, long nowMillis) {
             job = hold.job();
@@ -38,6 +40,7 @@
             note = hold.note();
             token = hold.token();
             expiresAt = nowMillis + hold.ttlMillis();
+            resumedMillis = hold.resume().isEmpty() ? 0 : Long.parseLong(hold.resume());
         }
     }
 
@@ -109,13 +112,22 @@
         if (held.state != LeaseState.RUNNING) {
             held.state = LeaseState.RUNNING;
             held.expiresAt = nowMillis + step.ttlMillis();
-            held.endsAt = nowMillis + script.runMillis();
+            held.startedAt = nowMillis;
+            held.endsAt = nowMillis + Math.max(0, script.runMillis() - held.resumedMillis);
             started.add(step.job());
             version++;
         }
         return Optional.empty();
     }
 
+    /** Returns how long the task has run in all, which a later hold may resume from. */
+    Optional<String> checkpoint(WorkerCommand.Step step, long nowMillis) {
+        Held held = current(step, nowMillis);
+        return held == null || held.state != LeaseState.RUNNING
+                ? Optional.empty()
+                : Optional.of("" + (held.resumedMillis + nowMillis - held.startedAt));
+    }
+
     Optional<String> stop(WorkerCommand.Step step, long nowMillis) {
         advance(nowMillis);
         long highest = highestTokens.getOrDefault(step.job(), 0L);
--- a/standin/src/main/java/io/cardamomshelf/standin/WorkerStandin.java
+++ b/standin/src/main/java/io/cardamomshelf/standin/WorkerStandin.java
@@ -99,6 +99,16 @@
         return book.started();
     }
 
+    /**
+     * Asks whether a task runs now.
+     *
+     * @return true if one does
+     */
+    public synchronized boolean isBusy() {
+        book.advance(now());
+        return book.busy() > 0;
+    }
+
     @Override
     void route(Router router) {
         router.put("/admin/mode")
@@ -148,11 +158,19 @@
         switch (context.pathParam("step")) {
             case "commit" -> answer(context, book.commit(step, now()));
             case "start" -> answer(context, book.start(step, script(step), now()));
+            case "checkpoint" -> checkpoint(context, step);
             case "stop" -> answer(context, book.stop(step, now()));
             default -> fail(context, BAD_REQUEST, "no such step");
         }
     }
 
+    private void checkpoint(RoutingContext context, WorkerCommand.Step step) {
+        book.checkpoint(step, now())
+                .ifPresentOrElse(
+                        text -> reply(context, OK, new WorkerCommand.Checkpoint(text)),
+                        () -> fail(context, CONFLICT, "job " + step.job() + " doesn't run here"));
+    }
+
     private TaskScript script(WorkerCommand.Step step) {
         return book.note(step.job())
                 .map(note -> TaskScript.parse(note.spec().payload()))
