--- /dev/null
+++ b/sessions/src/test/java/io/cardamomshelf/sessions/ProcessFailureTest.java
@@ -0,0 +1,215 @@
+package io.cardamomshelf.sessions;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicBoolean;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** Processes that are killed, frozen and stopped, under load. */
+class ProcessFailureTest {
+
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+    private static final List<String> ENTRIES = List.of("entry-1", "entry-2", "entry-3");
+    private static final List<String> WORKERS = List.of("w1", "w2");
+
+    @TempDir private Path folder;
+    private Deployment deployment;
+
+    @BeforeEach
+    void start() throws SessionException {
+        deployment = Deployment.start(folder);
+        for (String worker : WORKERS) {
+            deployment.worker(worker, "jhb-a", "gauteng");
+        }
+        for (String entry : ENTRIES) {
+            deployment.entry(entry, "jhb-a", "gauteng");
+        }
+        deployment.awaitReady();
+        Path plans =
+                deployment.write(
+                        "plans.yaml",
+                        List.of("plans:", "  savings: {quota: 16, weight: 1, guarantees: []}"));
+        Path grants =
+                deployment.write(
+                        "grants.yaml",
+                        List.of("grants:", "  savings: {dataCentres: [jhb-a], maxRequests: 60}"));
+        Deployment.Ended published =
+                deployment.cli(
+                        "entry-1",
+                        "publish",
+                        "--plans",
+                        plans.toString(),
+                        "--grants",
+                        grants.toString());
+        assertEquals(0, published.code(), published.out());
+        for (String entry : ENTRIES) {
+            Wait.until(
+                    entry + " serves the organisation",
+                    () ->
+                            request(entry, "warm up", true, "")
+                                    .path("verdict")
+                                    .asText()
+                                    .equals("RAN"));
+        }
+    }
+
+    @AfterEach
+    void stop() throws SessionException {
+        deployment.close();
+    }
+
+    private JsonNode request(String entry, String payload, boolean idempotent, String key)
+            throws SessionException {
+        String body =
+                "{\"organisation\":\"savings\",\"idempotent\":"
+                        + idempotent
+                        + ",\"deadlineMillis\":10000,\"payload\":\""
+                        + payload
+                        + "\"}";
+        String url = deployment.endpoint(entry, "callers") + "/v1/requests";
+        return key.isEmpty()
+                ? json(deployment.http("POST", url, body))
+                : json(deployment.http("POST", url, body, "Idempotency-Key", key));
+    }
+
+    private String submit(String entry, long runMillis) throws SessionException {
+        String body =
+                "{\"organisation\":\"savings\",\"accelerators\":16,\"estimateMillis\":1000,"
+                        + "\"payload\":\"{\\\"runMillis\\\":"
+                        + runMillis
+                        + "}\"}";
+        String url = deployment.endpoint(entry, "callers") + "/v1/jobs";
+        return json(deployment.http("POST", url, body)).path("job").asText();
+    }
+
+    private String state(String entry, String job) throws SessionException {
+        String url = deployment.endpoint(entry, "callers") + "/v1/jobs/" + job;
+        JsonNode view = json(deployment.http("GET", url, null));
+        return view.path("state").asText() + view.path("result").asText();
+    }
+
+    private int seen(String list, String text) throws SessionException {
+        int count = 0;
+        for (String worker : WORKERS) {
+            String url = deployment.endpoint(worker, "port") + "/admin/runs";
+            for (JsonNode one : json(deployment.http("GET", url, null)).path(list)) {
+                count += one.asText().equals(text) ? 1 : 0;
+            }
+        }
+        return count;
+    }
+
+    private static JsonNode json(Deployment.Reply reply) throws SessionException {
+        try {
+            return MAPPER.readTree(reply.body());
+        } catch (IOException e) {
+            throw new SessionException("no JSON: " + reply.body());
+        }
+    }
+
+    @Nested
+    class Killed {
+
+        @Test
+        void anOwnersGangGoesOnAndItsQueuedJobRunsOnce() throws SessionException {
+            String running = submit("entry-1", 5_000);
+            Wait.until("the gang runs", () -> state("entry-2", running).equals("RUNNING"));
+            String queued = submit("entry-1", 300);
+            deployment.child("entry-1").kill();
+            Wait.until("the gang ends", () -> state("entry-2", running).equals("ENDEDSUCCEEDED"));
+            Wait.until(
+                    "the queued job ends", () -> state("entry-3", queued).equals("ENDEDSUCCEEDED"));
+            assertEquals(2, seen("tasks", running));
+            assertEquals(2, seen("tasks", queued));
+        }
+    }
+
+    @Nested
+    class Frozen {
+
+        @Test
+        void anOwnerThatWakesLateStopsAndStartsNothing() throws SessionException {
+            String job = submit("entry-1", 12_000);
+            Wait.until("the gang runs", () -> state("entry-2", job).equals("RUNNING"));
+            deployment.child("entry-1").signal("STOP");
+            Wait.until(
+                    "another instance owns the job",
+                    () ->
+                            deployment
+                                    .cli("entry-2", "timeline", "--about", job)
+                                    .out()
+                                    .contains("JOB_TAKEN_OVER"));
+            deployment.child("entry-1").signal("CONT");
+            Wait.until("the gang ends", () -> state("entry-2", job).equals("ENDEDSUCCEEDED"));
+            assertEquals(2, seen("tasks", job));
+        }
+    }
+
+    @Nested
+    class Stopped {
+
+        @Test
+        void oneInstanceAfterAnotherCutsNoRequestAndLosesNoJob() throws Exception {
+            String job = submit("entry-1", 8_000);
+            Wait.until("the gang runs", () -> state("entry-2", job).equals("RUNNING"));
+            AtomicBoolean done = new AtomicBoolean();
+            CompletableFuture<List<String>> load =
+                    CompletableFuture.supplyAsync(() -> sendUntil(done));
+            assertEquals(0, deployment.child("entry-1").terminate());
+            assertEquals(0, deployment.child("entry-2").terminate());
+            done.set(true);
+            List<String> wrong = load.get();
+            assertTrue(wrong.isEmpty(), "cut or lost: " + wrong);
+            Wait.until("the gang ends", () -> state("entry-3", job).equals("ENDEDSUCCEEDED"));
+            assertEquals(2, seen("tasks", job));
+        }
+
+        /** Sends as a balancer does: to the next instance once one says that it isn't ready. */
+        private List<String> sendUntil(AtomicBoolean done) {
+            List<String> wrong = new ArrayList<>();
+            for (int number = 0; !done.get(); number++) {
+                String payload = "load " + number;
+                try {
+                    JsonNode reply = request(ready(), payload, false, "key-" + number);
+                    boolean ran = reply.path("verdict").asText().equals("RAN");
+                    if (!ran || seen("requests", payload) != 1) {
+                        wrong.add(payload + " " + reply);
+                    }
+                } catch (SessionException e) {
+                    wrong.add(payload + " " + e.getMessage());
+                }
+            }
+            return wrong;
+        }
+
+        private String ready() throws SessionException {
+            for (String entry : ENTRIES) {
+                if (deployment.child(entry).isAlive() && isReady(entry)) {
+                    return entry;
+                }
+            }
+            throw new SessionException("no instance is ready");
+        }
+
+        private boolean isReady(String entry) {
+            try {
+                String url = deployment.endpoint(entry, "callers") + "/ready";
+                return deployment.http("GET", url, null).status() == 200;
+            } catch (SessionException e) {
+                return false;
+            }
+        }
+    }
+}
