--- a/sessions/src/test/java/io/cardamomshelf/sessions/Local.java
+++ b/sessions/src/test/java/io/cardamomshelf/sessions/Local.java
@@ -189,6 +189,10 @@
                 .body();
     }
 
+    String logEndpoint() {
+        return HOST + ":" + logPort;
+    }
+
     String operators(String entry) {
         return HOST + ":" + ports.get(entry).operators();
     }
