Guarantee and restore events are published; a reason that nothing gave is gone

Cause: reading as a newcomer: the catalogue listed events 512, 513 and 604 that nothing published, and a reason REFUSED that no answer carried, while a refusal was titled 'could not be reached'. Ruled out: taking the events out (operators need them when a guarantee is unmet). Change: GuaranteeWatch, the restore event, one reason for both; qualified names and repeated test steps tidied. Before: silence on an unmet guarantee.

--- a/core/src/main/java/io/cardamomshelf/core/request/Reason.java
+++ b/core/src/main/java/io/cardamomshelf/core/request/Reason.java
@@ -18,10 +18,8 @@
     OVERLOADED,
     /** The deadline leaves no time. */
     DEADLINE,
-    /** The upstream could not be reached. */
+    /** The upstream could not be reached, or refused before running. */
     UNREACHABLE,
-    /** The upstream refused before running. */
-    REFUSED,
     /** The answer was lost, cut, late or another request's. */
     ANSWER_LOST,
     /** The idempotency key is in use by another attempt. */
--- a/entry/src/main/java/io/cardamomshelf/entry/AttemptLoop.java
+++ b/entry/src/main/java/io/cardamomshelf/entry/AttemptLoop.java
@@ -110,6 +110,9 @@
     }
 
     private Answer ran(Progress progress, Upstream upstream, String body) {
+        if (upstream.breaker().isEjected()) {
+            events.publish(EventType.WORKER_RESTORED, upstream.worker().value(), "requests");
+        }
         chooser.release(upstream, true, Clock.millis());
         progress.verdict = Verdict.RAN;
         progress.reason = Reason.OK;
--- a/entry/src/main/java/io/cardamomshelf/entry/EntryInstance.java
+++ b/entry/src/main/java/io/cardamomshelf/entry/EntryInstance.java
@@ -76,6 +76,7 @@
     private final UpstreamChooser chooser;
     private final RequestRouter requests;
     private final PeerNetwork peers;
+    private final GuaranteeWatch guarantees;
     private final Freshness freshness = new Freshness(FRESH_MILLIS);
     private final MetricRegistry metrics = new MetricRegistry();
     private HttpServer callersServer;
@@ -113,6 +114,7 @@
                         jobLog,
                         events,
                         this::isStartable);
+        guarantees = new GuaranteeWatch(books, events);
         takeover = new Takeover(self, table, members, jobLog, events);
         fleet =
                 new FleetFollower(
@@ -233,6 +235,9 @@
 
     private void tick() {
         config.watch();
+        if (fleet.hasAskedAll()) {
+            guarantees.tick();
+        }
         if (!leaving) {
             takeover.tick();
         }
--- a/entry/src/main/java/io/cardamomshelf/entry/Problem.java
+++ b/entry/src/main/java/io/cardamomshelf/entry/Problem.java
@@ -74,7 +74,7 @@
             case OVERLOADED -> TOO_MANY;
             case UNREACHABLE, ANSWER_LOST -> BAD_GATEWAY;
             case DEADLINE -> GATEWAY_TIMEOUT;
-            case NO_UPSTREAM, REFUSED, LOG_AWAY, LEAVING -> UNAVAILABLE;
+            case NO_UPSTREAM, LOG_AWAY, LEAVING -> UNAVAILABLE;
         };
     }
 
@@ -87,11 +87,10 @@
             case KEY_IN_USE -> "Another attempt holds the idempotency key";
             case NEVER_FITS -> "The job can never run";
             case OVERLOADED -> "Too many requests in flight";
-            case UNREACHABLE -> "No upstream could be reached";
+            case UNREACHABLE -> "No upstream took the request";
             case ANSWER_LOST -> "The upstream's answer was lost";
             case DEADLINE -> "The deadline has passed";
             case NO_UPSTREAM -> "No upstream may take the request now";
-            case REFUSED -> "The upstream refused";
             case LOG_AWAY -> "The platform's log is away";
             case LEAVING -> "This instance is leaving";
         };
--- a/sessions/src/main/java/io/cardamomshelf/sessions/DemoSession.java
+++ b/sessions/src/main/java/io/cardamomshelf/sessions/DemoSession.java
@@ -6,6 +6,7 @@
 import java.nio.file.Path;
 import java.util.List;
 import java.util.function.Consumer;
+import java.util.regex.Pattern;
 
 /**
  * The main job, from end to end, as a story: publish the lists, send two requests, run a gang.
@@ -90,7 +91,7 @@
 
     private int status(String text) throws SessionException {
         String out = deployment.cli(FIRST, "status", "--json").out();
-        return out.split(java.util.regex.Pattern.quote(text), -1).length - 1;
+        return out.split(Pattern.quote(text), -1).length - 1;
     }
 
     private void idempotentRequest() throws SessionException {
--- a/sessions/src/test/java/io/cardamomshelf/sessions/CallersApiTest.java
+++ b/sessions/src/test/java/io/cardamomshelf/sessions/CallersApiTest.java
@@ -14,6 +14,7 @@
 import java.util.Random;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
+import java.util.stream.Stream;
 import org.junit.jupiter.api.AfterAll;
 import org.junit.jupiter.api.BeforeAll;
 import org.junit.jupiter.api.Nested;
@@ -73,7 +74,7 @@
             return Pattern.compile("-H '([^:]+): ([^']+)'")
                     .matcher(text)
                     .results()
-                    .flatMap(found -> java.util.stream.Stream.of(found.group(1), found.group(2)))
+                    .flatMap(found -> Stream.of(found.group(1), found.group(2)))
                     .toArray(String[]::new);
         }
     }
--- a/sessions/src/test/java/io/cardamomshelf/sessions/FailureProofTest.java
+++ b/sessions/src/test/java/io/cardamomshelf/sessions/FailureProofTest.java
@@ -48,6 +48,13 @@
         local.awaitState(1, PTA, 16);
     }
 
+    private String submitRunning(String entry, int accelerators, long runMillis)
+            throws SessionException {
+        String job = local.submit(entry, accelerators, runMillis).text("job");
+        local.awaitJob(entry, job, "RUNNING");
+        return job;
+    }
+
     private int starts(String job) {
         int starts = 0;
         for (String worker : List.of("jhb-a-w1", "jhb-a-w2", "pta-b-w1", "pta-b-w2")) {
@@ -190,8 +197,7 @@
         @Test
         void aRunningJobMovesWithItsCheckpoint() throws SessionException {
             publish(List.of(), JHB, PTA);
-            String job = local.submit("entry-1", 16, 4_000).text("job");
-            local.awaitJob("entry-1", job, "RUNNING");
+            String job = submitRunning("entry-1", 16, 4_000);
             String from = local.job("entry-1", job).text("dataCentre");
             local.setIn(from, false, 0);
             Wait.until(
@@ -228,14 +234,30 @@
         }
     }
 
+    @Nested
+    class Unmet {
+
+        @Test
+        void aGuaranteeThatNoLongerPacksIsSaidAtOnceAndPassesByItself() throws SessionException {
+            publish(List.of(new Guarantee(DataCentreId.of(JHB), 16, 1)), JHB);
+            local.worker("jhb-a-w2").mode(WorkerStandin.Mode.FREEZE, 0);
+            Wait.until("the outage is said", () -> isOnTimeline("GUARANTEE_UNMET"));
+            local.worker("jhb-a-w2").mode(WorkerStandin.Mode.NORMAL, 0);
+            Wait.until("the return is said", () -> isOnTimeline("GUARANTEE_MET"));
+        }
+
+        private boolean isOnTimeline(String event) throws SessionException {
+            return local.timeline("entry-1").toString().contains(event);
+        }
+    }
+
     @Nested
     class OwnerDies {
 
         @Test
         void aRunningGangGoesOnUnderAnotherOwnerAndRunsOnce() throws SessionException {
             publish(List.of(), JHB);
-            String job = local.submit("entry-1", 16, 6_000).text("job");
-            local.awaitJob("entry-1", job, "RUNNING");
+            String job = submitRunning("entry-1", 16, 6_000);
             local.crash("entry-1");
             local.awaitJob("entry-2", job, "ENDED");
             assertEquals("SUCCEEDED", local.job("entry-2", job).text("result"));
@@ -245,8 +267,7 @@
         @Test
         void aQueuedJobIsPlacedByAnother() throws SessionException {
             publish(List.of(), JHB);
-            String running = local.submit("entry-1", 16, 2_000).text("job");
-            local.awaitJob("entry-1", running, "RUNNING");
+            String running = submitRunning("entry-1", 16, 2_000);
             String queued = local.submit("entry-1", 16, 300).text("job");
             assertFalse(queued.isEmpty());
             local.crash("entry-1");
@@ -261,8 +282,7 @@
         @Test
         void aFrozenMemberStopsTheWholeGang() throws SessionException {
             publish(List.of(), JHB);
-            String job = local.submit("entry-1", 16, 120_000).text("job");
-            local.awaitJob("entry-1", job, "RUNNING");
+            String job = submitRunning("entry-1", 16, 120_000);
             local.worker("jhb-a-w2").mode(WorkerStandin.Mode.FREEZE, 0);
             Wait.until(
                     "the gang is stopped",
@@ -279,8 +299,7 @@
         @Test
         void acceptedJobsAreSafeAndNewOnesAreRefusedTruthfully() throws SessionException {
             publish(List.of(), JHB);
-            String job = local.submit("entry-1", 16, 2_000).text("job");
-            local.awaitJob("entry-1", job, "RUNNING");
+            String job = submitRunning("entry-1", 16, 2_000);
             local.log().mode(LogStandin.Mode.DOWN);
             Local.Reply refused = local.submit("entry-1", 1, 100);
             assertEquals(503, refused.status());
--- a/sessions/src/test/java/io/cardamomshelf/sessions/OperatorsCommandTest.java
+++ b/sessions/src/test/java/io/cardamomshelf/sessions/OperatorsCommandTest.java
@@ -1,6 +1,7 @@
 package io.cardamomshelf.sessions;
 
 import io.cardamomshelf.cli.CliMain;
+import io.cardamomshelf.standin.LogStandin;
 import java.io.ByteArrayOutputStream;
 import java.io.PrintStream;
 import java.nio.charset.StandardCharsets;
@@ -81,7 +82,7 @@
             run("show");
             run("job", "show", "j-none");
             run("timeline", "--about", "rotating-savings");
-            local.log().mode(io.cardamomshelf.standin.LogStandin.Mode.DOWN);
+            local.log().mode(LogStandin.Mode.DOWN);
             run("publish", "--plans", "plans.yaml", "--grants", "grants.yaml");
         }
 
--- a/standin/src/main/java/io/cardamomshelf/standin/LogStandin.java
+++ b/standin/src/main/java/io/cardamomshelf/standin/LogStandin.java
@@ -45,7 +45,7 @@
 
     private record Appended(long offset) {}
 
-    private record Waiter(long from, Runnable serve) {}
+    private record Waiter(Runnable serve) {}
 
     private static final class Stream {
         private final Deque<LogPage.LogRecord> records = new ArrayDeque<>();
@@ -178,7 +178,7 @@
                         reply(context, OK, stream.page(from));
                     }
                 };
-        Waiter waiter = new Waiter(from, serve);
+        Waiter waiter = new Waiter(serve);
         stream.waiters.add(waiter);
         vertx().setTimer(wait, id -> expire(stream, waiter));
     }
