--- a/sessions/src/main/java/io/cardamomshelf/sessions/Deployment.java
+++ b/sessions/src/main/java/io/cardamomshelf/sessions/Deployment.java
@@ -7,10 +7,6 @@
 import io.cardamomshelf.platform.Json;
 import io.cardamomshelf.standin.StandinMain;
 import java.io.IOException;
-import java.net.URI;
-import java.net.http.HttpClient;
-import java.net.http.HttpRequest;
-import java.net.http.HttpResponse;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -52,7 +48,7 @@
     public record Reply(int status, String body) {}
 
     private final Path folder;
-    private final HttpClient http = HttpClient.newHttpClient();
+    private final Http http = new Http();
     private final Map<String, Child> children = new LinkedHashMap<>();
     private final List<String> entries = new ArrayList<>();
 
@@ -206,26 +202,7 @@
      */
     public Reply http(String method, String url, String body, String... headers)
             throws SessionException {
-        HttpRequest.Builder request =
-                HttpRequest.newBuilder(URI.create("http://" + url))
-                        .method(
-                                method,
-                                body == null
-                                        ? HttpRequest.BodyPublishers.noBody()
-                                        : HttpRequest.BodyPublishers.ofString(body));
-        if (headers.length > 0) {
-            request.headers(headers);
-        }
-        try {
-            HttpResponse<String> response =
-                    http.send(request.build(), HttpResponse.BodyHandlers.ofString());
-            return new Reply(response.statusCode(), response.body());
-        } catch (IOException e) {
-            throw new SessionException(method + " " + url + ": " + e);
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-            throw new SessionException("interrupted");
-        }
+        return http.send(method, url, body, headers);
     }
 
     /**
--- a/sessions/src/test/java/io/cardamomshelf/sessions/Local.java
+++ b/sessions/src/test/java/io/cardamomshelf/sessions/Local.java
@@ -24,10 +24,6 @@
 import io.vertx.core.VertxOptions;
 import io.vertx.mutiny.core.Vertx;
 import java.io.IOException;
-import java.net.URI;
-import java.net.http.HttpClient;
-import java.net.http.HttpRequest;
-import java.net.http.HttpResponse;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
@@ -51,7 +47,7 @@
 
     private final List<Vertx> loops = new ArrayList<>();
     private final Map<String, Vertx> entryLoops = new LinkedHashMap<>();
-    private final HttpClient http = HttpClient.newHttpClient();
+    private final Http http = new Http();
     private final int logPort;
     private final int listPort;
     private final LogStandin log;
@@ -239,29 +235,14 @@
     }
 
     Reply send(String method, String url, String body, String... headers) throws SessionException {
-        HttpRequest.Builder request =
-                HttpRequest.newBuilder(URI.create("http://" + url))
-                        .method(
-                                method,
-                                body == null
-                                        ? HttpRequest.BodyPublishers.noBody()
-                                        : HttpRequest.BodyPublishers.ofString(body));
-        if (headers.length > 0) {
-            request.headers(headers);
-        }
+        Deployment.Reply reply = http.send(method, url, body, headers);
         try {
-            HttpResponse<String> response =
-                    http.send(request.build(), HttpResponse.BodyHandlers.ofString());
-            String text = response.body();
-            boolean json = text.startsWith("{");
+            boolean json = reply.body().startsWith("{");
             return new Reply(
-                    response.statusCode(),
-                    json ? MAPPER.readTree(text) : MAPPER.createObjectNode());
+                    reply.status(),
+                    json ? MAPPER.readTree(reply.body()) : MAPPER.createObjectNode());
         } catch (IOException e) {
-            throw new SessionException(method + " " + url + ": " + e);
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-            throw new SessionException("interrupted");
+            throw new SessionException("no JSON: " + reply.body());
         }
     }
 
--- a/standin/src/main/java/io/cardamomshelf/standin/HttpStandin.java
+++ b/standin/src/main/java/io/cardamomshelf/standin/HttpStandin.java
@@ -55,6 +55,20 @@
         return vertx;
     }
 
+    /** Adds a path whose body switches something; the answer repeats the body. */
+    static <T> void onPut(Router router, String path, Class<T> type, Consumer<T> change) {
+        router.put(path)
+                .handler(
+                        context ->
+                                withBody(
+                                        context,
+                                        type,
+                                        form -> {
+                                            change.accept(form);
+                                            reply(context, OK, form);
+                                        }));
+    }
+
     static void reply(RoutingContext context, int status, Object body) {
         context.response()
                 .setStatusCode(status)
--- a/standin/src/main/java/io/cardamomshelf/standin/ListStandin.java
+++ b/standin/src/main/java/io/cardamomshelf/standin/ListStandin.java
@@ -72,27 +72,9 @@
     @Override
     void route(Router router) {
         router.get("/instances").handler(context -> reply(context, OK, new Listed(seen())));
-        router.put("/instances")
-                .handler(
-                        context ->
-                                withBody(
-                                        context,
-                                        Instance.class,
-                                        instance -> {
-                                            put(instance);
-                                            reply(context, OK, instance);
-                                        }));
+        onPut(router, "/instances", Instance.class, this::put);
         router.delete("/instances/:id").handler(this::delete);
-        router.put("/admin/lag")
-                .handler(
-                        context ->
-                                withBody(
-                                        context,
-                                        LagForm.class,
-                                        form -> {
-                                            lag(form.millis());
-                                            reply(context, OK, form);
-                                        }));
+        onPut(router, "/admin/lag", LagForm.class, form -> lag(form.millis()));
     }
 
     private void delete(RoutingContext context) {
--- a/standin/src/main/java/io/cardamomshelf/standin/LogStandin.java
+++ b/standin/src/main/java/io/cardamomshelf/standin/LogStandin.java
@@ -107,16 +107,7 @@
 
     @Override
     void route(Router router) {
-        router.put("/admin/mode")
-                .handler(
-                        context ->
-                                withBody(
-                                        context,
-                                        ModeForm.class,
-                                        form -> {
-                                            mode(form.mode(), form.millis());
-                                            reply(context, OK, form);
-                                        }));
+        onPut(router, "/admin/mode", ModeForm.class, form -> mode(form.mode(), form.millis()));
         router.route("/streams/*").handler(this::misbehave);
         router.post("/streams/:stream/records").handler(this::append);
         router.get("/streams/:stream/records").handler(this::read);
--- a/standin/src/main/java/io/cardamomshelf/standin/WorkerStandin.java
+++ b/standin/src/main/java/io/cardamomshelf/standin/WorkerStandin.java
@@ -111,16 +111,7 @@
 
     @Override
     void route(Router router) {
-        router.put("/admin/mode")
-                .handler(
-                        context ->
-                                withBody(
-                                        context,
-                                        ModeForm.class,
-                                        form -> {
-                                            mode(form.mode(), form.millis());
-                                            reply(context, OK, form);
-                                        }));
+        onPut(router, "/admin/mode", ModeForm.class, form -> mode(form.mode(), form.millis()));
         router.get("/admin/runs")
                 .handler(context -> reply(context, OK, new Runs(runs(), starts())));
         router.route("/v1/*").handler(this::freeze);
