A woken instance neither claims nor stops what others run

Reproduced here at the first try with the merged time line printed.

Cause, read off that time line: the owner, frozen between commit and start, woke; it had heard no heartbeat while it was frozen and took the live owner for dead, so it claimed the job back; its abort had taken the gang off its books while the workers still reported it, and unchanged reports were not applied again, so it placed the gang anew; its hold was refused ("has a lease here"), and the clean-up after the refusal stopped, under the new token, the very gang that ran. Ruled out: a lapsed lease (renewals went on), a late test (the bound is a minute).

Change: PauseWatch notices a pause of more than a second; silence counts from the waking only, for claims and for workers. Every report read is compared with the books. A failed hold is undone only where it may have been taken. A job is placed only after the job stream has been read since the job last changed (or while the log is away), so that an end or a claim that isn't read yet can't be run over. An evicted job counts as changing until its eviction is done.

--- a/entry/src/main/java/io/cardamomshelf/entry/EntryInstance.java
+++ b/entry/src/main/java/io/cardamomshelf/entry/EntryInstance.java
@@ -68,6 +68,7 @@
     private final ConfigFollower config;
     private final JobTable table = new JobTable();
     private final Books books = new Books();
+    private final PauseWatch pauses = new PauseWatch();
     private final JobLog jobLog;
     private final ClaimLog claims;
     private final JobRunner runner;
@@ -115,13 +116,14 @@
                         events,
                         this::isStartable);
         guarantees = new GuaranteeWatch(books, events);
-        takeover = new Takeover(self, table, members, jobLog, events);
+        takeover = new Takeover(self, table, members, jobLog, events, pauses);
         fleet =
                 new FleetFollower(
                         members,
                         workers,
                         books,
                         events,
+                        pauses,
                         runner::isChanging,
                         runner::renewals,
                         runner::gone);
@@ -234,6 +236,7 @@
     }
 
     private void tick() {
+        pauses.tick();
         config.watch();
         if (fleet.hasAskedAll()) {
             guarantees.tick();
--- a/entry/src/main/java/io/cardamomshelf/entry/FleetFollower.java
+++ b/entry/src/main/java/io/cardamomshelf/entry/FleetFollower.java
@@ -54,6 +54,7 @@
     }
 
     private final Members members;
+    private final PauseWatch pauses;
     private final WorkerClient client;
     private final Books books;
     private final Events events;
@@ -67,6 +68,7 @@
     /**
      * Creates a follower.
      *
+     * @param pauses tells since when this process has listened
      * @param changing tells the jobs whose cells this instance is changing itself
      * @param renewals gives the leases to renew on a worker
      * @param gone takes the jobs of which no worker reports a lease any more
@@ -76,6 +78,7 @@
             WorkerClient client,
             Books books,
             Events events,
+            PauseWatch pauses,
             Changing changing,
             Function<WorkerId, List<WorkerCommand.Renewal>> renewals,
             Consumer<JobId> gone) {
@@ -83,6 +86,7 @@
         this.client = client;
         this.books = books;
         this.events = events;
+        this.pauses = pauses;
         this.changing = changing;
         this.renewals = renewals;
         this.gone = gone;
@@ -97,10 +101,10 @@
             }
         }
         forgetUnlisted();
-        long horizon = Clock.millis() - FRESH_MILLIS;
+        long now = Clock.millis();
         seen.forEach(
                 (id, last) -> {
-                    if (last.polledMillis < horizon && books.fleet().remove(id)) {
+                    if (now - heardMillis(last) > FRESH_MILLIS && books.fleet().remove(id)) {
                         events.publish(EventType.WORKER_LOST, id.value(), "");
                     }
                 });
@@ -147,14 +151,19 @@
                 .orElse(1);
     }
 
-    private static GangTable.Sight sight(Seen last, long now, long sinceMillis) {
-        if (last == null || now - last.polledMillis > RUN_TTL_MILLIS + FRESH_MILLIS) {
+    private GangTable.Sight sight(Seen last, long now, long sinceMillis) {
+        if (last == null || now - heardMillis(last) > RUN_TTL_MILLIS + FRESH_MILLIS) {
             return GangTable.Sight.GONE;
         }
         boolean stale = now - last.polledMillis > FRESH_MILLIS || last.polledMillis <= sinceMillis;
         return stale ? GangTable.Sight.STALE : GangTable.Sight.FRESH;
     }
 
+    /** A worker that couldn't be heard while this process was paused isn't silent by that. */
+    private long heardMillis(Seen last) {
+        return Math.max(last.polledMillis, pauses.awakeSinceMillis());
+    }
+
     private static Optional<Lease> lease(Seen last, JobId job) {
         return last == null
                 ? Optional.empty()
@@ -184,16 +193,16 @@
         if (books.fleet().put(current.worker())) {
             events.publish(EventType.WORKER_SEEN, id.value(), "" + current.worker().rack());
         }
-        if (report.isPresent()) {
-            apply(id, current, sentMillis);
-        }
+        // An unchanged report still corrects books that this instance has changed in the meantime.
+        apply(id, current, sentMillis);
     }
 
     private void apply(WorkerId id, WorkerReport report, long sentMillis) {
         Set<JobId> reported = new HashSet<>();
         for (Lease lease : report.leases()) {
             reported.add(lease.job());
-            if (!changing.test(lease.job(), sentMillis)) {
+            boolean booked = books.fleet().allocation(lease.job()).isPresent();
+            if (!booked && !changing.test(lease.job(), sentMillis)) {
                 books.allocate(allocation(lease.note()));
             }
         }
--- a/entry/src/main/java/io/cardamomshelf/entry/GangClient.java
+++ b/entry/src/main/java/io/cardamomshelf/entry/GangClient.java
@@ -11,6 +11,7 @@
 import io.cardamomshelf.platform.WorkerClient;
 import io.cardamomshelf.platform.WorkerCommand;
 import io.smallrye.mutiny.Uni;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.function.BiFunction;
 import java.util.function.Function;
@@ -35,19 +36,37 @@
         this.client = client;
     }
 
+    /**
+     * Holds all members, or none that this call can still undo. A member that refused isn't touched
+     * again: it may run the same gang under an older token.
+     */
     Uni<Void> hold(GangNote note, long token, String resume) {
+        List<Slice> touched = new ArrayList<>();
         return onAll(
-                note.placement(),
-                (endpoint, slice) ->
-                        client.hold(
-                                endpoint,
-                                new WorkerCommand.Hold(
-                                        note.job(),
-                                        token,
-                                        slice.mask(),
-                                        HOLD_TTL_MILLIS,
-                                        note,
-                                        resume)));
+                        note.placement().slices(),
+                        (endpoint, slice) ->
+                                client.hold(
+                                                endpoint,
+                                                new WorkerCommand.Hold(
+                                                        note.job(),
+                                                        token,
+                                                        slice.mask(),
+                                                        HOLD_TTL_MILLIS,
+                                                        note,
+                                                        resume))
+                                        .onItemOrFailure()
+                                        .invoke(
+                                                (done, failure) -> {
+                                                    if (failure == null || mayHold(failure)) {
+                                                        touched.add(slice);
+                                                    }
+                                                }))
+                .onFailure()
+                .call(() -> stop(note.job(), touched, token));
+    }
+
+    private static boolean mayHold(Throwable failure) {
+        return PlatformException.verdictOf(failure) != Verdict.NOT_RUN;
     }
 
     /** Commits on the lead; a lost answer is asked for again, which the lead answers the same. */
@@ -61,7 +80,7 @@
     Uni<Void> start(JobId job, Placement placement, long token) {
         WorkerCommand.Step step = new WorkerCommand.Step(job, token, FleetFollower.RUN_TTL_MILLIS);
         return onAll(
-                placement,
+                placement.slices(),
                 (endpoint, slice) ->
                         client.start(endpoint, step).onFailure().retry().atMost(RETRIES));
     }
@@ -87,9 +106,13 @@
 
     /** Stops on all members; one that can't be reached lets its lease lapse. */
     Uni<Void> stop(JobId job, Placement placement, long token) {
+        return stop(job, placement.slices(), token);
+    }
+
+    private Uni<Void> stop(JobId job, List<Slice> slices, long token) {
         WorkerCommand.Step step = new WorkerCommand.Step(job, token, 0);
         return onAll(
-                placement,
+                slices,
                 (endpoint, slice) ->
                         client.stop(endpoint, step)
                                 .onFailure()
@@ -99,9 +122,12 @@
                                 .recoverWithNull());
     }
 
-    private Uni<Void> onAll(Placement placement, BiFunction<Endpoint, Slice, Uni<Void>> call) {
+    private Uni<Void> onAll(List<Slice> slices, BiFunction<Endpoint, Slice, Uni<Void>> call) {
+        if (slices.isEmpty()) {
+            return Uni.createFrom().voidItem();
+        }
         List<Uni<Void>> calls =
-                placement.slices().stream()
+                slices.stream()
                         .map(slice -> on(slice.worker(), endpoint -> call.apply(endpoint, slice)))
                         .toList();
         return Uni.join().all(calls).andCollectFailures().replaceWithVoid();
--- a/entry/src/main/java/io/cardamomshelf/entry/JobLog.java
+++ b/entry/src/main/java/io/cardamomshelf/entry/JobLog.java
@@ -17,6 +17,9 @@
  */
 final class JobLog {
 
+    /** How old the evidence for who owns a job may be when the job is placed. */
+    private static final long FRESH_MILLIS = 2_000;
+
     private final LogClient log;
     private final JobTable table;
     private final Events events;
@@ -41,6 +44,17 @@
         return log.append(LogClient.JOBS, Json.write(record));
     }
 
+    /**
+     * Asks whether a job that changed at a time may be placed by what the table says: another may
+     * own it, or have ended it, by records that aren't read yet. While the log is away there can be
+     * none.
+     */
+    boolean isReadSince(long changedMillis) {
+        long read = follower.tailReadMillis();
+        boolean current = read > changedMillis && Clock.millis() - read <= FRESH_MILLIS;
+        return current || !follower.isReachable();
+    }
+
     private void apply(LogPage page) {
         for (LogPage.LogRecord record : page.records()) {
             try {
--- a/entry/src/main/java/io/cardamomshelf/entry/JobRunner.java
+++ b/entry/src/main/java/io/cardamomshelf/entry/JobRunner.java
@@ -88,6 +88,7 @@
     void gone(JobId id) {
         books.release(id);
         whole.remove(id);
+        changedMillis.put(id, Clock.millis());
         if (owned(id).filter(JobTable.Job::isOpen).isPresent()) {
             events.publish(EventType.GANG_ABORTED, id.value(), "no worker reports it any more");
         }
@@ -95,7 +96,7 @@
 
     /** Asks whether a report asked for at a time may show the job's cells before a change. */
     boolean isChanging(JobId job, long sentMillis) {
-        return busy.contains(job) || changedMillis.getOrDefault(job, Long.MIN_VALUE) >= sentMillis;
+        return busy.contains(job) || changed(job) >= sentMillis;
     }
 
     /** Asks whether this instance is taking a job's gang through its steps. */
@@ -136,7 +137,7 @@
                 lookAfter(job, cells.get());
             } else if (job.cancelled()) {
                 end(job, JobRecord.Result.CANCELLED, "cancelled before it ran");
-            } else if (!leaving) {
+            } else if (!leaving && log.isReadSince(changed(job.id()))) {
                 waiting.add(job);
             }
         }
@@ -198,14 +199,23 @@
                         ? Uni.createFrom().voidItem()
                         : Uni.join().all(evictions).andCollectFailures().replaceWithVoid();
         room.chain(() -> gangs.hold(note, token, resume))
-                .invoke(() -> events.publish(EventType.GANG_HELD, id.value(), ""))
-                .chain(() -> gangs.commit(id, made.placement(), token))
+                .subscribe()
+                .with(done -> held(id, made, token), failure -> notHeld(id, text(failure)));
+    }
+
+    private void held(JobId id, Allocation made, long token) {
+        events.publish(EventType.GANG_HELD, id.value(), "");
+        gangs.commit(id, made.placement(), token)
                 .invoke(() -> events.publish(EventType.GANG_COMMITTED, id.value(), ""))
                 .chain(() -> startIfAllowed(id, made, token))
                 .subscribe()
-                .with(
-                        done -> started(id),
-                        failure -> abort(id, made, token, String.valueOf(failure.getMessage())));
+                .with(done -> started(id), failure -> abort(id, made, token, text(failure)));
+    }
+
+    private void notHeld(JobId id, String why) {
+        events.publish(EventType.GANG_ABORTED, id.value(), why);
+        books.release(id);
+        settle(id);
     }
 
     /**
@@ -243,8 +253,8 @@
     /** Checkpoints and stops a job that makes room for another; its owner queues it again. */
     private Uni<Void> evict(Allocation victim, JobId claimant) {
         events.publish(EventType.JOB_RECLAIMED, victim.job().value(), claimant.value(), "");
-        changedMillis.put(victim.job(), Clock.millis());
-        return checkpointAndStop(victim);
+        busy.add(victim.job());
+        return checkpointAndStop(victim).onTermination().invoke(() -> settle(victim.job()));
     }
 
     /** Moves a job out of a data centre that was taken out, if another has room for it. */
@@ -296,7 +306,7 @@
     }
 
     private void lookAfter(JobTable.Job job, Allocation cells) {
-        long since = changedMillis.getOrDefault(job.id(), Long.MIN_VALUE);
+        long since = changed(job.id());
         List<GangTable.Member> members = fleet.sight(job.id(), cells.placement(), since);
         if (job.cancelled()) {
             finish(job, cells, JobRecord.Result.CANCELLED, "cancelled while it ran");
@@ -326,7 +336,7 @@
                 .subscribe()
                 .with(
                         done -> started(job.id()),
-                        failure -> abort(job.id(), cells, token, failure.getMessage()));
+                        failure -> abort(job.id(), cells, token, text(failure)));
     }
 
     private void stop(JobTable.Job job, Allocation cells, List<GangTable.Member> members) {
@@ -391,6 +401,10 @@
         changedMillis.put(id, Clock.millis());
     }
 
+    private long changed(JobId id) {
+        return changedMillis.getOrDefault(id, Long.MIN_VALUE);
+    }
+
     private Optional<JobTable.Job> owned(JobId id) {
         return table.job(id).filter(job -> job.owner().equals(self.run()));
     }
@@ -399,6 +413,10 @@
         return Tokens.of(job.ownerOffset(), attempts.getOrDefault(job.id(), 0));
     }
 
+    private static String text(Throwable failure) {
+        return String.valueOf(failure.getMessage());
+    }
+
     private static String describe(Allocation made) {
         return made.placement().accelerators()
                 + " accelerators on "
--- a/entry/src/main/java/io/cardamomshelf/entry/Takeover.java
+++ b/entry/src/main/java/io/cardamomshelf/entry/Takeover.java
@@ -21,20 +21,27 @@
     private final Members members;
     private final JobLog log;
     private final Events events;
+    private final PauseWatch pauses;
     private final Set<JobId> claiming = new HashSet<>();
-    private final long startedMillis = Clock.millis();
 
-    Takeover(Self self, JobTable table, Members members, JobLog log, Events events) {
+    Takeover(
+            Self self,
+            JobTable table,
+            Members members,
+            JobLog log,
+            Events events,
+            PauseWatch pauses) {
         this.self = self;
         this.table = table;
         this.members = members;
         this.log = log;
         this.events = events;
+        this.pauses = pauses;
     }
 
     void tick() {
         long now = Clock.millis();
-        if (now - startedMillis < Members.LIVE_MILLIS) {
+        if (now - pauses.awakeSinceMillis() < Members.LIVE_MILLIS) {
             // Heartbeats of live owners may not have arrived yet.
             return;
         }
--- a/sessions/src/test/java/io/cardamomshelf/sessions/ProcessFailureTest.java
+++ b/sessions/src/test/java/io/cardamomshelf/sessions/ProcessFailureTest.java
@@ -23,6 +23,7 @@
     private static final ObjectMapper MAPPER = new ObjectMapper();
     private static final List<String> ENTRIES = List.of("entry-1", "entry-2", "entry-3");
     private static final int SENDERS = 4;
+    private static final long LONGER_THAN_A_LEASE_MILLIS = 14_000;
     private static final List<String> WORKERS = List.of("w1", "w2");
 
     @TempDir private Path folder;
@@ -112,6 +113,18 @@
         return count;
     }
 
+    private String timeline(String about) throws SessionException {
+        return deployment.cli("entry-2", "timeline", "--about", about).out();
+    }
+
+    private String timelineOrReason(String about) {
+        try {
+            return timeline(about);
+        } catch (SessionException e) {
+            return "no time line: " + e.getMessage();
+        }
+    }
+
     private static JsonNode json(Deployment.Reply reply) throws SessionException {
         try {
             return MAPPER.readTree(reply.body());
@@ -142,19 +155,25 @@
 
         @Test
         void anOwnerThatWakesLateStopsAndStartsNothing() throws SessionException {
-            String job = submit("entry-1", 12_000);
+            freezeOwner(12_000, 0);
+        }
+
+        @Test
+        void anOwnerFrozenLongerThanALeaseStopsAndStartsNothing() throws SessionException {
+            freezeOwner(30_000, LONGER_THAN_A_LEASE_MILLIS);
+        }
+
+        private void freezeOwner(long runMillis, long atLeastMillis) throws SessionException {
+            String job = submit("entry-1", runMillis);
             Wait.until("the gang runs", () -> state("entry-2", job).equals("RUNNING"));
             deployment.child("entry-1").signal("STOP");
+            long until = System.nanoTime() + atLeastMillis * 1_000_000;
             Wait.until(
                     "another instance owns the job",
-                    () ->
-                            deployment
-                                    .cli("entry-2", "timeline", "--about", job)
-                                    .out()
-                                    .contains("JOB_TAKEN_OVER"));
+                    () -> timeline(job).contains("JOB_TAKEN_OVER") && System.nanoTime() >= until);
             deployment.child("entry-1").signal("CONT");
             Wait.until("the gang ends", () -> state("entry-2", job).equals("ENDEDSUCCEEDED"));
-            assertEquals(2, seen("tasks", job));
+            assertEquals(2, seen("tasks", job), () -> timelineOrReason(job));
         }
     }
 
