--- a/core/src/main/java/io/cardamomshelf/core/request/Reason.java
+++ b/core/src/main/java/io/cardamomshelf/core/request/Reason.java
@@ -10,6 +10,8 @@
     OK,
     /** The input is wrong. */
     INVALID,
+    /** The request didn't come whole in time. */
+    TOO_SLOW,
     /** The organisation has no plan or grant. */
     NOT_GRANTED,
     /** No upstream may take the request now. */
--- a/entry/src/main/java/io/cardamomshelf/entry/CallersApi.java
+++ b/entry/src/main/java/io/cardamomshelf/entry/CallersApi.java
@@ -56,6 +56,7 @@
 
     private final Vertx vertx;
     private final Limits limits;
+    private final SlowSenders senders;
     private final RequestRouter requests;
     private final JobDesk jobs;
     private final BooleanSupplier ready;
@@ -64,12 +65,14 @@
     CallersApi(
             Vertx vertx,
             Limits limits,
+            SlowSenders senders,
             RequestRouter requests,
             JobDesk jobs,
             BooleanSupplier ready,
             BooleanSupplier closed) {
         this.vertx = vertx;
         this.limits = limits;
+        this.senders = senders;
         this.requests = requests;
         this.jobs = jobs;
         this.ready = ready;
@@ -78,11 +81,13 @@
 
     Router router() {
         Router router = Router.router(vertx);
+        router.route().handler(senders::started);
         router.get("/health").handler(context -> context.endAndForget("ok"));
         router.get("/ready").handler(this::readiness);
         router.route("/v1/*").handler(this::refuseWhenClosed);
         router.route("/v1/*")
                 .handler(BodyHandler.create(false).setBodyLimit(limits.maxBodyBytes()));
+        router.route("/v1/*").handler(senders::whole);
         router.post("/v1/requests").handler(this::request);
         router.post("/v1/jobs").handler(this::job);
         router.get("/v1/jobs/:id").handler(this::showJob);
--- a/entry/src/main/java/io/cardamomshelf/entry/EntryInstance.java
+++ b/entry/src/main/java/io/cardamomshelf/entry/EntryInstance.java
@@ -186,12 +186,17 @@
         HttpServerOptions options =
                 new HttpServerOptions()
                         .setIdleTimeout(settings.limits().idleSeconds())
-                        .setMaxHeaderSize(settings.limits().maxHeaderBytes());
+                        .setMaxHeaderSize(settings.limits().maxHeaderBytes())
+                        .setHttp2ClearTextEnabled(false);
+        SlowSenders senders =
+                new SlowSenders(
+                        vertx, settings.limits().receiveSeconds(), settings.limits().idleSeconds());
         JobDesk desk = new JobDesk(self, table, books, jobLog, runner, events);
         Router callers =
                 new CallersApi(
                                 vertx,
                                 settings.limits(),
+                                senders,
                                 requests,
                                 desk,
                                 this::isReady,
@@ -206,10 +211,12 @@
                                 config,
                                 books,
                                 chooser,
+                                fleet::quarantined,
                                 metrics)
                         .router();
         callersServer = vertx.createHttpServer(options).requestHandler(callers);
         operatorsServer = vertx.createHttpServer(options).requestHandler(operators);
+        senders.watch(callersServer);
         return Uni.combine()
                 .all()
                 .unis(
--- a/entry/src/main/java/io/cardamomshelf/entry/FleetFollower.java
+++ b/entry/src/main/java/io/cardamomshelf/entry/FleetFollower.java
@@ -6,6 +6,7 @@
 import io.cardamomshelf.core.fleet.Allocation;
 import io.cardamomshelf.core.fleet.Placement;
 import io.cardamomshelf.core.fleet.Slice;
+import io.cardamomshelf.core.fleet.WorkerHealth;
 import io.cardamomshelf.core.job.Books;
 import io.cardamomshelf.core.lease.GangNote;
 import io.cardamomshelf.core.lease.GangTable;
@@ -57,12 +58,14 @@
     private final PauseWatch pauses;
     private final WorkerClient client;
     private final Books books;
+    private final WorkerHealth health = new WorkerHealth();
     private final Events events;
     private final Changing changing;
     private final Function<WorkerId, List<WorkerCommand.Renewal>> renewals;
     private final Consumer<JobId> gone;
     private final Map<WorkerId, Seen> seen = new HashMap<>();
     private final Set<WorkerId> polling = new HashSet<>();
+    private final Set<WorkerId> quarantined = new HashSet<>();
     private final Set<WorkerId> asked = new HashSet<>();
 
     /**
@@ -116,6 +119,11 @@
                 .allMatch(worker -> asked.contains(WorkerId.of(worker.id())));
     }
 
+    /** Returns the workers that get no new tasks, for what they start fails. */
+    List<WorkerId> quarantined() {
+        return health.quarantined();
+    }
+
     private void forgetUnlisted() {
         Set<WorkerId> listed = new HashSet<>();
         members.workers().forEach(worker -> listed.add(WorkerId.of(worker.id())));
@@ -123,6 +131,8 @@
         for (WorkerId id : List.copyOf(seen.keySet())) {
             boolean empty = books.fleet().jobsOn(id).isEmpty();
             if (!listed.contains(id) && empty) {
+                health.forget(id);
+                quarantined.remove(id);
                 books.fleet().forget(id, seen.remove(id).report.worker().dataCentre());
             }
         }
@@ -190,13 +200,26 @@
         Seen last = seen.get(id);
         WorkerReport current = report.orElseGet(() -> last.report);
         seen.put(id, new Seen(current, sentMillis));
-        if (books.fleet().put(current.worker())) {
-            events.publish(EventType.WORKER_SEEN, id.value(), "" + current.worker().rack());
+        health.update(id, current.leases(), members.workers().size(), Clock.millis());
+        if (health.isQuarantined(id, Clock.millis())) {
+            quarantine(id);
+        } else if (books.fleet().put(current.worker())) {
+            boolean restored = quarantined.remove(id);
+            EventType type = restored ? EventType.WORKER_RESTORED : EventType.WORKER_SEEN;
+            events.publish(type, id.value(), "" + current.worker().rack());
         }
         // An unchanged report still corrects books that this instance has changed in the meantime.
         apply(id, current, sentMillis);
     }
 
+    /** Its running tasks go on; the cells are neither free nor reclaimable meanwhile. */
+    private void quarantine(WorkerId id) {
+        books.fleet().remove(id);
+        if (quarantined.add(id)) {
+            events.publish(EventType.WORKER_QUARANTINED, id.value(), "its tasks fail");
+        }
+    }
+
     private void apply(WorkerId id, WorkerReport report, long sentMillis) {
         Set<JobId> reported = new HashSet<>();
         for (Lease lease : report.leases()) {
--- a/entry/src/main/java/io/cardamomshelf/entry/GangClient.java
+++ b/entry/src/main/java/io/cardamomshelf/entry/GangClient.java
@@ -26,6 +26,10 @@
     /** How long a hold lasts; a holder that was paused longer can't commit or start. */
     static final long HOLD_TTL_MILLIS = 3_000;
 
+    /** How long a member stays paused at most, if whoever paused it doesn't come back. */
+    static final long PAUSE_TTL_MILLIS = 5_000;
+
+    private static final int PAUSED_PERCENT = 0;
     private static final int RETRIES = 2;
 
     private final Members members;
@@ -85,6 +89,13 @@
                         client.start(endpoint, step).onFailure().retry().atMost(RETRIES));
     }
 
+    /** Pauses all members for a while, so that a checkpoint and the stop after it lose no work. */
+    Uni<Void> pause(JobId job, Placement placement, long token) {
+        WorkerCommand.Throttle throttle =
+                new WorkerCommand.Throttle(job, token, PAUSED_PERCENT, PAUSE_TTL_MILLIS);
+        return onAll(placement.slices(), (endpoint, slice) -> client.throttle(endpoint, throttle));
+    }
+
     /** Checkpoints all members; empty if one can't, for a part of a gang can't be resumed. */
     Uni<String> checkpoint(JobId job, Placement placement, long token) {
         WorkerCommand.Step step = new WorkerCommand.Step(job, token, 0);
--- a/entry/src/main/java/io/cardamomshelf/entry/JobRunner.java
+++ b/entry/src/main/java/io/cardamomshelf/entry/JobRunner.java
@@ -9,6 +9,7 @@
 import io.cardamomshelf.core.job.Decision;
 import io.cardamomshelf.core.job.Dispatcher;
 import io.cardamomshelf.core.job.Estimates;
+import io.cardamomshelf.core.job.JobFailures;
 import io.cardamomshelf.core.job.JobRecord;
 import io.cardamomshelf.core.job.JobTable;
 import io.cardamomshelf.core.lease.GangAction;
@@ -36,7 +37,6 @@
  */
 final class JobRunner {
 
-    private static final int MAX_FAILURES = 3;
     private static final int TRUSTED_PERCENT = 75;
 
     private final Self self;
@@ -53,7 +53,7 @@
     private final Set<JobId> busy = new HashSet<>();
     private final Map<JobId, Long> changedMillis = new HashMap<>();
     private final Set<JobId> whole = new HashSet<>();
-    private final Map<JobId, Integer> failures = new HashMap<>();
+    private final JobFailures failures = new JobFailures();
     private final Map<JobId, String> checkpoints = new HashMap<>();
     private FleetFollower fleet;
     private boolean leaving;
@@ -142,11 +142,11 @@
             }
         }
         place(waiting);
-        for (Map<JobId, ?> memory :
-                List.of(attempts, waits, changedMillis, failures, checkpoints)) {
+        for (Map<JobId, ?> memory : List.of(attempts, waits, changedMillis, checkpoints)) {
             memory.keySet().removeIf(this::isEnded);
         }
         whole.removeIf(this::isEnded);
+        failures.forget(this::isEnded);
     }
 
     private boolean isEnded(JobId id) {
@@ -277,7 +277,10 @@
     private Uni<Void> checkpointAndStop(Allocation victim) {
         JobId id = victim.job();
         long token = fleet.token(id, victim.placement());
-        return gangs.checkpoint(id, victim.placement(), token)
+        return gangs.pause(id, victim.placement(), token)
+                .onFailure()
+                .recoverWithNull()
+                .chain(() -> gangs.checkpoint(id, victim.placement(), token))
                 .chain(text -> keep(id, text))
                 .chain(() -> gangs.stop(id, victim.placement(), token));
     }
@@ -340,21 +343,24 @@
     }
 
     private void stop(JobTable.Job job, Allocation cells, List<GangTable.Member> members) {
-        boolean failed =
+        List<WorkerId> failed =
                 members.stream()
-                        .flatMap(member -> member.lease().stream())
-                        .map(Lease::state)
-                        .anyMatch(LeaseState.FAILED::equals);
-        if (failed && failures.merge(job.id(), 1, Integer::sum) >= MAX_FAILURES) {
-            finish(
-                    job,
-                    cells,
-                    JobRecord.Result.FAILED,
-                    "members failed " + MAX_FAILURES + " times");
-            return;
+                        .filter(member -> member.lease().stream().anyMatch(JobRunner::isFailed))
+                        .map(GangTable.Member::worker)
+                        .toList();
+        if (failed.isEmpty()) {
+            busy.add(job.id());
+            abort(job.id(), cells, token(job), "a member was lost");
+        } else if (failures.plus(job.id(), failed)) {
+            finish(job, cells, JobRecord.Result.FAILED, "members failed, last on " + failed);
+        } else {
+            busy.add(job.id());
+            abort(job.id(), cells, token(job), "members failed on " + failed);
         }
-        busy.add(job.id());
-        abort(job.id(), cells, token(job), failed ? "a member failed" : "a member was lost");
+    }
+
+    private static boolean isFailed(Lease lease) {
+        return lease.state() == LeaseState.FAILED;
     }
 
     private void finish(
--- a/entry/src/main/java/io/cardamomshelf/entry/OperatorsApi.java
+++ b/entry/src/main/java/io/cardamomshelf/entry/OperatorsApi.java
@@ -2,6 +2,7 @@
 
 import com.codahale.metrics.MetricRegistry;
 import io.cardamomshelf.core.base.DataCentreId;
+import io.cardamomshelf.core.base.WorkerId;
 import io.cardamomshelf.core.event.Event;
 import io.cardamomshelf.core.fleet.Worker;
 import io.cardamomshelf.core.job.Books;
@@ -21,6 +22,9 @@
 import java.security.MessageDigest;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.function.Supplier;
 
 /**
  * The operators' HTTP interface, on a listener of its own: time line, status, metrics.
@@ -41,6 +45,7 @@
     private final ConfigFollower config;
     private final Books books;
     private final UpstreamChooser chooser;
+    private final Supplier<List<WorkerId>> quarantined;
     private final CollectorRegistry metrics = new CollectorRegistry();
 
     OperatorsApi(
@@ -51,6 +56,7 @@
             ConfigFollower config,
             Books books,
             UpstreamChooser chooser,
+            Supplier<List<WorkerId>> quarantined,
             MetricRegistry registry) {
         this.vertx = vertx;
         this.self = self;
@@ -59,6 +65,7 @@
         this.config = config;
         this.books = books;
         this.chooser = chooser;
+        this.quarantined = quarantined;
         new DropwizardExports(registry).register(metrics);
     }
 
@@ -107,19 +114,18 @@
                                     .sum(),
                             books.isPackable(site)));
         }
-        List<String> ejected =
-                chooser.upstreams().stream()
-                        .filter(upstream -> upstream.breaker().isEjected())
-                        .map(Upstream::worker)
-                        .map(Object::toString)
-                        .toList();
+        Set<WorkerId> ejected = new TreeSet<>(quarantined.get());
+        chooser.upstreams().stream()
+                .filter(upstream -> upstream.breaker().isEjected())
+                .map(Upstream::worker)
+                .forEach(ejected::add);
         return new OperatorViews.Status(
                 self.run(),
                 self.dataCentre(),
                 config.state().offset(),
                 config.isReachable(),
                 sites,
-                ejected);
+                ejected.stream().map(WorkerId::value).toList());
     }
 
     private void metrics(RoutingContext context) {
--- a/entry/src/main/java/io/cardamomshelf/entry/Problem.java
+++ b/entry/src/main/java/io/cardamomshelf/entry/Problem.java
@@ -29,6 +29,7 @@
     private static final int BAD_REQUEST = 400;
     private static final int FORBIDDEN = 403;
     private static final int NOT_FOUND = 404;
+    private static final int REQUEST_TIMEOUT = 408;
     private static final int CONFLICT = 409;
     private static final int UNPROCESSABLE = 422;
     private static final int TOO_MANY = 429;
@@ -67,6 +68,7 @@
         return switch (reason) {
             case OK -> OK;
             case INVALID -> BAD_REQUEST;
+            case TOO_SLOW -> REQUEST_TIMEOUT;
             case NOT_GRANTED -> FORBIDDEN;
             case UNKNOWN -> NOT_FOUND;
             case KEY_IN_USE -> CONFLICT;
@@ -82,6 +84,7 @@
         return switch (reason) {
             case OK -> "OK";
             case INVALID -> "The input is wrong";
+            case TOO_SLOW -> "The request didn't come whole in time";
             case NOT_GRANTED -> "The organisation has no plan or grant";
             case UNKNOWN -> "There is no such job or path";
             case KEY_IN_USE -> "Another attempt holds the idempotency key";
--- a/entry/src/main/java/io/cardamomshelf/entry/settings/Limits.java
+++ b/entry/src/main/java/io/cardamomshelf/entry/settings/Limits.java
@@ -12,7 +12,9 @@
  * @param defaultDeadlineMillis the deadline of a request that names none, in milliseconds, 1 to
  *     600,000
  * @param maxDeadlineMillis the longest deadline, in milliseconds, 1 to 600,000
- * @param idleSeconds how long a silent connection or slow sender is kept, in seconds, 1 to 3,600
+ * @param idleSeconds how long a silent connection is kept, in seconds, 1 to 3,600
+ * @param receiveSeconds how long a sender may take over the headers of a request, and over its
+ *     body, in seconds, 1 to 600
  * @param upstreamConnections the most connections to one upstream, 1 to 1,000
  * @param retryPercent further attempts per hundred requests, 0 to 100
  * @param eventsKept the most events kept for the time line, 100 to 1,000,000
@@ -23,12 +25,14 @@
         Long defaultDeadlineMillis,
         Long maxDeadlineMillis,
         Integer idleSeconds,
+        Integer receiveSeconds,
         Integer upstreamConnections,
         Integer retryPercent,
         Integer eventsKept) {
 
     /** The defaults of all keys. */
-    public static final Limits DEFAULT = new Limits(null, null, null, null, null, null, null, null);
+    public static final Limits DEFAULT =
+            new Limits(null, null, null, null, null, null, null, null, null);
 
     private static final long MAX_DEADLINE_MILLIS = 600_000;
 
@@ -50,6 +54,7 @@
         maxDeadlineMillis =
                 checked("maxDeadlineMillis", maxDeadlineMillis, 60_000, 1, MAX_DEADLINE_MILLIS);
         idleSeconds = (int) checked("idleSeconds", idleSeconds, 75, 1, 3_600);
+        receiveSeconds = (int) checked("receiveSeconds", receiveSeconds, 30, 1, 600);
         upstreamConnections =
                 (int) checked("upstreamConnections", upstreamConnections, 8, 1, 1_000);
         retryPercent = (int) checked("retryPercent", retryPercent, 10, 0, 100);
--- a/sessions/src/test/java/io/cardamomshelf/sessions/CallersApiTest.java
+++ b/sessions/src/test/java/io/cardamomshelf/sessions/CallersApiTest.java
@@ -4,14 +4,16 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.cardamomshelf.core.event.EventType;
+import io.cardamomshelf.entry.settings.Limits;
 import io.cardamomshelf.wire.FrameCodec;
 import java.io.IOException;
 import java.io.OutputStream;
 import java.net.Socket;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
-import java.util.Random;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 import java.util.stream.Stream;
@@ -23,6 +25,9 @@
 /** The callers' interface: the documented examples, wrong input, and garbled frames of a peer. */
 class CallersApiTest {
 
+    /** Two minutes' worth, so that a connection that stays open fails the test. */
+    private static final int MOST_TRICKLED = 600;
+
     private static Local local;
 
     @BeforeAll
@@ -31,6 +36,8 @@
         local.addWorker("w1", "jhb-a");
         local.addWorker("w2", "jhb-a");
         local.addEntry("entry-1", "jhb-a");
+        local.addEntry(
+                "strict", "jhb-a", new Limits(null, null, null, null, null, 1, null, null, null));
         local.publish(32, List.of(), "jhb-a");
         local.awaitReady();
         local.awaitState(1, "jhb-a", 16);
@@ -126,25 +133,6 @@
             isRefused("body", post("/v1/requests", "x".repeat(300_000)));
         }
 
-        @Test
-        void garbledBodiesNeitherCrashNorRun() throws SessionException {
-            String good =
-                    "{\"organisation\":\"nobody\",\"idempotent\":true,\"payload\":\"fuzzed\"}";
-            Random random = new Random(44);
-            for (int round = 0; round < 300; round++) {
-                char[] body = good.toCharArray();
-                for (int change = 0; change <= random.nextInt(4); change++) {
-                    body[random.nextInt(body.length)] = (char) (32 + random.nextInt(95));
-                }
-                Local.Reply reply = post("/v1/requests", new String(body));
-                assertTrue(
-                        reply.status() >= 400 && reply.status() < 500,
-                        new String(body) + " " + reply);
-                assertEquals("NOT_RUN", reply.text("verdict"));
-            }
-            assertTrue(local.worker("w1").runs().stream().noneMatch(run -> run.contains("fuzz")));
-        }
-
         @Test
         void anUnknownPathOrJobIsNotFound() throws SessionException {
             assertEquals(404, local.send("GET", local.callers("entry-1") + "/v2", null).status());
@@ -164,6 +152,58 @@
         }
     }
 
+    @Nested
+    class Slow {
+
+        private static final String HEADERS =
+                "POST /v1/requests HTTP/1.1\r\nHost: entry\r\nContent-Length: 200\r\n";
+
+        /** Sends a text, then a byte every 200 ms until the connection is closed. */
+        private String trickle(String first) throws Exception {
+            try (Socket socket = new Socket("127.0.0.1", port())) {
+                OutputStream out = socket.getOutputStream();
+                out.write(first.getBytes(StandardCharsets.US_ASCII));
+                AtomicInteger sent = new AtomicInteger();
+                Thread sender = new Thread(() -> trickleOn(out, sent));
+                sender.start();
+                byte[] reply = socket.getInputStream().readAllBytes();
+                sender.interrupt();
+                assertTrue(sent.get() < MOST_TRICKLED, "only the end of the sender ended it");
+                return new String(reply, StandardCharsets.US_ASCII);
+            }
+        }
+
+        private static void trickleOn(OutputStream out, AtomicInteger sent) {
+            try {
+                while (sent.incrementAndGet() < MOST_TRICKLED) {
+                    out.write('x');
+                    Thread.sleep(200);
+                }
+            } catch (IOException | InterruptedException e) {
+                // The entry has closed the connection.
+                Thread.currentThread().interrupt();
+            }
+        }
+
+        private static int port() {
+            String address = local.callers("strict");
+            return Integer.parseInt(address.substring(address.lastIndexOf(':') + 1));
+        }
+
+        @Test
+        void aBodyThatTricklesIsRefusedAndTheConnectionClosed() throws Exception {
+            String reply = trickle(HEADERS + "\r\n{");
+            assertTrue(reply.startsWith("HTTP/1.1 408"), reply);
+            assertTrue(reply.contains("\"TOO_SLOW\"") && reply.contains("\"NOT_RUN\""), reply);
+            assertEquals(200, local.request("entry-1", true, "still here").status());
+        }
+
+        @Test
+        void headersThatTrickleCloseTheConnection() throws Exception {
+            assertEquals("", trickle(HEADERS + "X-Slow: "));
+        }
+    }
+
     @Nested
     class Peers {
 
--- a/sessions/src/test/java/io/cardamomshelf/sessions/FailureProofTest.java
+++ b/sessions/src/test/java/io/cardamomshelf/sessions/FailureProofTest.java
@@ -231,6 +231,37 @@
                 local.awaitJob("entry-1", borrower, "RUNNING");
                 assertEquals(2, starts(borrower));
             }
+            for (String worker : List.of("jhb-a-w1", "jhb-a-w2")) {
+                assertEquals(0, local.worker(worker).discardedMillis(), "work lost on " + worker);
+            }
+        }
+    }
+
+    @Nested
+    class FailingWorker {
+
+        @Test
+        void noJobFailsForAWorkerThatFailsAll() throws SessionException {
+            publish(List.of(), JHB);
+            local.worker("jhb-a-w1").mode(WorkerStandin.Mode.FAIL_ALL, 0);
+            for (int index = 0; index < 8; index++) {
+                String job = local.submit("entry-1", 8, 100).text("job");
+                local.awaitJob("entry-1", job, "ENDED");
+                assertEquals("SUCCEEDED", local.job("entry-1", job).text("result"));
+            }
+            assertTrue(local.timeline("entry-1").toString().contains("WORKER_QUARANTINED"));
+            assertEquals(8, local.worker("jhb-a-w2").starts().size());
+            assertTrue(local.worker("jhb-a-w1").starts().size() <= 2, "more than it takes");
+        }
+
+        @Test
+        void aJobThatFailsEverywhereEndsAsFailed() throws SessionException {
+            publish(List.of(), JHB);
+            allWorkers(WorkerStandin.Mode.FAIL_ALL);
+            String job = local.submit("entry-1", 8, 100).text("job");
+            local.awaitJob("entry-1", job, "ENDED");
+            assertEquals("FAILED", local.job("entry-1", job).text("result"));
+            assertEquals(6, starts(job));
         }
     }
 
--- a/sessions/src/test/java/io/cardamomshelf/sessions/Local.java
+++ b/sessions/src/test/java/io/cardamomshelf/sessions/Local.java
@@ -15,6 +15,7 @@
 import io.cardamomshelf.core.fleet.Worker;
 import io.cardamomshelf.core.membership.Instance;
 import io.cardamomshelf.entry.EntryInstance;
+import io.cardamomshelf.entry.settings.Limits;
 import io.cardamomshelf.entry.settings.Settings;
 import io.cardamomshelf.entry.settings.Shutdown;
 import io.cardamomshelf.platform.ConfigJson;
@@ -94,6 +95,10 @@
     }
 
     void addEntry(String name, String site) throws SessionException {
+        addEntry(name, site, null);
+    }
+
+    void addEntry(String name, String site, Limits limits) throws SessionException {
         Settings settings =
                 new Settings(
                         name,
@@ -103,7 +108,7 @@
                         new Settings.Operators(null, Deployment.TOKEN),
                         HOST + ":0",
                         new Settings.Platform(HOST + ":" + logPort, HOST + ":" + listPort),
-                        null,
+                        limits,
                         new Shutdown(200L, 10_000L),
                         null);
         Vertx loop = loop();
--- a/standin/src/main/java/io/cardamomshelf/standin/LeaseBook.java
+++ b/standin/src/main/java/io/cardamomshelf/standin/LeaseBook.java
@@ -22,6 +22,7 @@
 final class LeaseBook {
 
     private static final long ENDED_KEPT_MILLIS = 60_000;
+    private static final int FULL_SPEED = 100;
 
     private static final class Held {
         private final JobId job;
@@ -32,6 +33,11 @@
         private long expiresAt;
         private long endsAt;
         private long startedAt;
+        private long throttledFrom;
+        private long throttledUntil;
+        private int percent = FULL_SPEED;
+        private double lostMillis;
+        private long checkpointedMillis;
         private long resumedMillis;
 
         Held(WorkerCommand.Hold hold, long nowMillis) {
@@ -42,6 +48,29 @@
             expiresAt = nowMillis + hold.ttlMillis();
             resumedMillis = hold.resume().isEmpty() ? 0 : Long.parseLong(hold.resume());
         }
+
+        /** Returns the run time that throttling has cost up to a time. */
+        double lostMillis(long nowMillis) {
+            long until = Math.min(nowMillis, throttledUntil);
+            long throttled = Math.max(0, until - throttledFrom);
+            return lostMillis + throttled * (FULL_SPEED - percent) / (double) FULL_SPEED;
+        }
+
+        void throttle(int share, long nowMillis, long ttlMillis) {
+            lostMillis = lostMillis(nowMillis);
+            percent = share;
+            throttledFrom = nowMillis;
+            throttledUntil = nowMillis + ttlMillis;
+        }
+
+        boolean isOver(long nowMillis) {
+            return endsAt + lostMillis(nowMillis) <= nowMillis;
+        }
+
+        /** Returns how long the task has run in all, earlier runs included. */
+        long ranMillis(long nowMillis) {
+            return resumedMillis + nowMillis - startedAt - (long) lostMillis(nowMillis);
+        }
     }
 
     private final int accelerators;
@@ -49,6 +78,7 @@
     private final Map<JobId, Long> highestTokens = new LinkedHashMap<>();
     private final List<JobId> started = new ArrayList<>();
     private boolean failing;
+    private long discardedMillis;
     private long version = 1;
 
     LeaseBook(int accelerators) {
@@ -68,6 +98,11 @@
         return List.copyOf(started);
     }
 
+    /** Returns the run time since their last checkpoint of all tasks that were stopped. */
+    long discardedMillis() {
+        return discardedMillis;
+    }
+
     Optional<String> hold(WorkerCommand.Hold hold, long nowMillis) {
         advance(nowMillis);
         if (hold.token() < highestTokens.getOrDefault(hold.job(), 0L)) {
@@ -123,9 +158,20 @@
     /** Returns how long the task has run in all, which a later hold may resume from. */
     Optional<String> checkpoint(WorkerCommand.Step step, long nowMillis) {
         Held held = current(step, nowMillis);
-        return held == null || held.state != LeaseState.RUNNING
-                ? Optional.empty()
-                : Optional.of("" + (held.resumedMillis + nowMillis - held.startedAt));
+        if (held == null || held.state != LeaseState.RUNNING) {
+            return Optional.empty();
+        }
+        held.checkpointedMillis = held.ranMillis(nowMillis);
+        return Optional.of("" + held.checkpointedMillis);
+    }
+
+    Optional<String> throttle(WorkerCommand.Throttle throttle, long nowMillis) {
+        Held held = current(new WorkerCommand.Step(throttle.job(), throttle.token(), 0), nowMillis);
+        if (held == null || held.state != LeaseState.RUNNING) {
+            return Optional.of("no run of " + throttle.job() + " under " + throttle.token());
+        }
+        held.throttle(throttle.percent(), nowMillis, throttle.ttlMillis());
+        return Optional.empty();
     }
 
     Optional<String> stop(WorkerCommand.Step step, long nowMillis) {
@@ -135,9 +181,13 @@
             return Optional.of("token " + step.token() + " is old");
         }
         highestTokens.put(step.job(), step.token());
-        if (leases.remove(step.job()) != null) {
+        Held held = leases.remove(step.job());
+        if (held != null) {
             version++;
         }
+        if (held != null && held.state == LeaseState.RUNNING) {
+            discardedMillis += held.ranMillis(nowMillis) - held.checkpointedMillis;
+        }
         return Optional.empty();
     }
 
@@ -177,7 +227,7 @@
     /** Lets tasks end and leases lapse up to a time. */
     void advance(long nowMillis) {
         for (Held held : List.copyOf(leases.values())) {
-            if (held.state == LeaseState.RUNNING && held.endsAt <= nowMillis) {
+            if (held.state == LeaseState.RUNNING && held.isOver(nowMillis)) {
                 held.state = failing ? LeaseState.FAILED : LeaseState.DONE;
                 held.expiresAt = nowMillis + ENDED_KEPT_MILLIS;
                 version++;
--- a/standin/src/main/java/io/cardamomshelf/standin/WorkerStandin.java
+++ b/standin/src/main/java/io/cardamomshelf/standin/WorkerStandin.java
@@ -99,6 +99,15 @@
         return book.started();
     }
 
+    /**
+     * Returns the run time that stopped tasks had done since their last checkpoint.
+     *
+     * @return the time, in milliseconds
+     */
+    public synchronized long discardedMillis() {
+        return book.discardedMillis();
+    }
+
     /**
      * Asks whether a task runs now.
      *
@@ -127,6 +136,13 @@
                 .handler(
                         context ->
                                 withBody(context, WorkerCommand.Hold.class, h -> hold(context, h)));
+        router.post("/v1/leases/throttle")
+                .handler(
+                        context ->
+                                withBody(
+                                        context,
+                                        WorkerCommand.Throttle.class,
+                                        t -> throttle(context, t)));
         router.post("/v1/leases/:step")
                 .handler(
                         context ->
@@ -145,6 +161,10 @@
         answer(context, book.hold(hold, now()));
     }
 
+    private synchronized void throttle(RoutingContext context, WorkerCommand.Throttle throttle) {
+        answer(context, book.throttle(throttle, now()));
+    }
+
     private synchronized void step(RoutingContext context, WorkerCommand.Step step) {
         switch (context.pathParam("step")) {
             case "commit" -> answer(context, book.commit(step, now()));
