Requests wait their turn for a place; explain and job list

Change: FairQueue, a line for each organisation, taken by turns that follow the plans' weights; what can't be served in time by the pace of late is refused at once with a true NOT_RUN. An upstream chosen but no longer listed counts as a failed attempt, where before its probe stayed out for ever. Operators get `explain ID`, sentences drawn from the events of all instances, and `job list`.

--- a/cli/src/main/java/io/cardamomshelf/cli/CallCommands.java
+++ b/cli/src/main/java/io/cardamomshelf/cli/CallCommands.java
@@ -2,11 +2,13 @@
 
 import io.cardamomshelf.platform.Endpoint;
 import io.cardamomshelf.platform.EntryClient;
+import io.cardamomshelf.platform.OperatorViews;
 import io.vertx.core.http.HttpMethod;
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
+import java.util.Optional;
 import joptsimple.OptionParser;
 import joptsimple.OptionSet;
 
@@ -27,22 +29,26 @@
 
         @Override
         public String summary() {
-            return "submits a job's JSON file, or shows or cancels a job";
+            return "submits a job's JSON file, shows or cancels a job, lists the open ones";
         }
 
         @Override
         public String example() {
-            return "job submit job.json | job show ID | job cancel ID";
+            return "job submit job.json | job show ID | job cancel ID | job list";
         }
 
         @Override
         public void declare(OptionParser parser) {
-            parser.nonOptions("submit FILE, show ID or cancel ID");
+            parser.nonOptions("submit FILE, show ID, cancel ID or list");
         }
 
         @Override
         public void run(OptionSet options, Session session) throws CliException {
             List<?> words = options.nonOptionArguments();
+            if (words.equals(List.of("list"))) {
+                list(session);
+                return;
+            }
             if (words.size() != 2) {
                 throw new CliException(ExitCode.WRONG_INPUT, "usage: " + example());
             }
@@ -56,6 +62,39 @@
         }
     }
 
+    /** Lists the jobs that haven't ended, as the first instance that answers tells them. */
+    private static void list(Session session) throws CliException {
+        OperatorViews.Jobs jobs =
+                session.ask(entry -> session.entries().jobs(entry)).values().stream()
+                        .flatMap(Optional::stream)
+                        .findFirst()
+                        .orElseThrow(
+                                () ->
+                                        new CliException(
+                                                ExitCode.UNREACHABLE, "no instance answers"));
+        for (OperatorViews.JobView job : jobs.jobs()) {
+            if (session.isJson()) {
+                session.printJson(job);
+            } else {
+                session.print(line(job));
+            }
+        }
+    }
+
+    private static String line(OperatorViews.JobView job) {
+        String waits = job.waitsFor().isEmpty() ? "" : ", waits: " + job.waitsFor();
+        return job.job()
+                + " "
+                + job.state()
+                + " of "
+                + job.organisation()
+                + ", "
+                + job.accelerators()
+                + " accelerators, owner "
+                + job.owner()
+                + waits;
+    }
+
     /** Sends a request. */
     static final class Request implements Command {
 
--- a/cli/src/main/java/io/cardamomshelf/cli/CliMain.java
+++ b/cli/src/main/java/io/cardamomshelf/cli/CliMain.java
@@ -31,7 +31,8 @@
                     new StatusCommand(),
                     new CallCommands.Job(),
                     new CallCommands.Request(),
-                    new TimelineCommand());
+                    new TimelineCommand(),
+                    new ExplainCommand());
 
     private CliMain() {}
 
--- /dev/null
+++ b/cli/src/main/java/io/cardamomshelf/cli/MergedTimeline.java
@@ -0,0 +1,47 @@
+package io.cardamomshelf.cli;
+
+import io.cardamomshelf.core.event.Event;
+import io.cardamomshelf.platform.Endpoint;
+import io.cardamomshelf.platform.OperatorViews;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+/**
+ * The events of all instances that answer, in one order.
+ *
+ * <p>Immutable and thread-safe.
+ *
+ * @param events the events, oldest first, not null
+ * @param missing the instances that don't answer, not null
+ */
+record MergedTimeline(List<Event> events, List<Endpoint> missing) {
+
+    MergedTimeline {
+        events = List.copyOf(events);
+        missing = List.copyOf(missing);
+    }
+
+    /** Asks every instance for the events about an id, empty for all. */
+    static MergedTimeline of(Session session, String subject) {
+        Map<Endpoint, Optional<OperatorViews.Timeline>> answers =
+                session.ask(entry -> session.entries().timeline(entry, subject));
+        List<Event> merged =
+                answers.values().stream()
+                        .flatMap(Optional::stream)
+                        .flatMap(timeline -> timeline.events().stream())
+                        .map(OperatorViews.EventView::toEvent)
+                        .sorted(Event.TIMELINE_ORDER)
+                        .toList();
+        List<Endpoint> missing =
+                answers.entrySet().stream()
+                        .filter(answer -> answer.getValue().isEmpty())
+                        .map(Map.Entry::getKey)
+                        .toList();
+        return new MergedTimeline(merged, missing);
+    }
+
+    void printMissing(Session session) {
+        missing.forEach(entry -> session.print("missing: " + entry + " doesn't answer"));
+    }
+}
--- a/cli/src/main/java/io/cardamomshelf/cli/TimelineCommand.java
+++ b/cli/src/main/java/io/cardamomshelf/cli/TimelineCommand.java
@@ -1,11 +1,7 @@
 package io.cardamomshelf.cli;
 
 import io.cardamomshelf.core.event.Event;
-import io.cardamomshelf.platform.Endpoint;
 import io.cardamomshelf.platform.OperatorViews;
-import java.util.List;
-import java.util.Map;
-import java.util.Optional;
 import joptsimple.OptionParser;
 import joptsimple.OptionSet;
 
@@ -37,22 +33,9 @@
     @Override
     public void run(OptionSet options, Session session) throws CliException {
         String subject = (String) options.valueOf("about");
-        Map<Endpoint, Optional<OperatorViews.Timeline>> answers =
-                session.ask(entry -> session.entries().timeline(entry, subject));
-        List<Event> merged =
-                answers.values().stream()
-                        .flatMap(Optional::stream)
-                        .flatMap(timeline -> timeline.events().stream())
-                        .map(OperatorViews.EventView::toEvent)
-                        .sorted(Event.TIMELINE_ORDER)
-                        .toList();
-        merged.forEach(event -> print(event, session));
-        answers.forEach(
-                (entry, timeline) -> {
-                    if (timeline.isEmpty()) {
-                        session.print("missing: " + entry + " doesn't answer");
-                    }
-                });
+        MergedTimeline timeline = MergedTimeline.of(session, subject);
+        timeline.events().forEach(event -> print(event, session));
+        timeline.printMissing(session);
     }
 
     private static void print(Event event, Session session) {
--- a/core/src/main/java/io/cardamomshelf/core/request/UpstreamChooser.java
+++ b/core/src/main/java/io/cardamomshelf/core/request/UpstreamChooser.java
@@ -103,6 +103,21 @@
         return Optional.empty();
     }
 
+    /**
+     * Asks whether an upstream could take a request if it weren't for those in flight there.
+     *
+     * @param where the data centres that may serve the request, not null
+     * @param tried the workers to pass over, not null
+     * @param nowMillis the time, in milliseconds
+     * @return true if waiting for a place may help
+     */
+    public boolean isFull(Predicate<DataCentreId> where, Set<WorkerId> tried, long nowMillis) {
+        return upstreams.values().stream()
+                .filter(upstream -> isUsable(upstream, nowMillis))
+                .filter(upstream -> where.test(upstream.dataCentre()))
+                .anyMatch(upstream -> !tried.contains(upstream.worker()));
+    }
+
     /**
      * Gives back the place of an attempt and learns from its end.
      *
@@ -137,11 +152,14 @@
     }
 
     private static boolean isAvailable(Upstream upstream, long nowMillis) {
-        return !upstream.isLeaving()
-                && !upstream.breaker().isOpen(nowMillis)
+        return isUsable(upstream, nowMillis)
                 && upstream.limit().inFlight() < upstream.limit().limit();
     }
 
+    private static boolean isUsable(Upstream upstream, long nowMillis) {
+        return !upstream.isLeaving() && !upstream.breaker().isOpen(nowMillis);
+    }
+
     private int ring(Upstream upstream) {
         if (upstream.dataCentre().equals(ownDataCentre)) {
             return 0;
--- /dev/null
+++ b/core/src/test/java/io/cardamomshelf/core/request/FairQueueTest.java
@@ -0,0 +1,111 @@
+package io.cardamomshelf.core.request;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.cardamomshelf.core.base.OrganisationId;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+/** Turns of organisations, and requests refused early. */
+class FairQueueTest {
+
+    private static final OrganisationId HOG = OrganisationId.of("hog");
+    private static final OrganisationId QUIET = OrganisationId.of("quiet");
+    private static final long LONG_MILLIS = 1_000_000;
+
+    private final FairQueue<String> queue = new FairQueue<>();
+
+    private void offer(OrganisationId organisation, int weight, int count) {
+        for (int index = 0; index < count; index++) {
+            String name = organisation + " " + index;
+            assertTrue(queue.offer(organisation, weight, name, LONG_MILLIS, 0));
+        }
+    }
+
+    private List<String> take(int count) {
+        List<String> taken = new ArrayList<>();
+        for (int index = 0; index < count; index++) {
+            queue.take(taken::add, 0);
+        }
+        return taken;
+    }
+
+    @Nested
+    class Turns {
+
+        @Test
+        void aLongLineDelaysNoOtherOrganisation() {
+            offer(HOG, 1, 100);
+            take(50);
+            offer(QUIET, 1, 2);
+            List<String> taken = take(4);
+            assertTrue(taken.containsAll(List.of("quiet 0", "quiet 1")), taken.toString());
+        }
+
+        @Test
+        void followTheWeights() {
+            offer(HOG, 1, 100);
+            offer(QUIET, 3, 100);
+            long quiet = take(40).stream().filter(name -> name.startsWith("quiet")).count();
+            assertEquals(30, quiet, 1);
+        }
+
+        @Test
+        void ofAnOrganisationWhoseOldestCannotStartAreLeftToOthers() {
+            offer(HOG, 1, 1);
+            offer(QUIET, 1, 1);
+            assertTrue(queue.take(name -> name.startsWith("quiet"), 0));
+            assertFalse(queue.take(name -> name.startsWith("quiet"), 0));
+            assertEquals(1, queue.size());
+        }
+
+        @Test
+        void areNotSavedUpWhileAway() {
+            offer(HOG, 1, 100);
+            take(60);
+            offer(QUIET, 1, 30);
+            long quiet = take(20).stream().filter(name -> name.startsWith("quiet")).count();
+            assertEquals(10, quiet, 1);
+        }
+    }
+
+    @Nested
+    class Shedding {
+
+        /** Takes one request each 100 ms, so that the pace is known. */
+        private long paced() {
+            offer(HOG, 1, 100);
+            long now = 0;
+            for (int index = 0; index < 60; index++) {
+                now += 100;
+                queue.take(name -> true, now);
+            }
+            return now;
+        }
+
+        @Test
+        void refusesWhatCannotBeServedInTime() {
+            long now = paced();
+            assertFalse(queue.offer(HOG, 1, "late", 3_500, now), "40 ahead take 4 s");
+            assertTrue(queue.offer(HOG, 1, "in time", 4_500, now));
+        }
+
+        @Test
+        void countsOnlyTheTurnsThatOthersHaveBefore() {
+            long now = paced();
+            assertTrue(queue.offer(QUIET, 1, "soon", 300, now), "its turn comes second");
+        }
+
+        @Test
+        void aRemovedRequestIsNotTaken() {
+            offer(HOG, 1, 1);
+            assertTrue(queue.remove(HOG, "hog 0"));
+            assertFalse(queue.remove(HOG, "hog 0"));
+            assertFalse(queue.take(name -> true, 0));
+        }
+    }
+}
--- a/entry/src/main/java/io/cardamomshelf/entry/AttemptLoop.java
+++ b/entry/src/main/java/io/cardamomshelf/entry/AttemptLoop.java
@@ -1,9 +1,12 @@
 package io.cardamomshelf.entry;
 
 import io.cardamomshelf.core.base.DataCentreId;
+import io.cardamomshelf.core.base.OrganisationId;
 import io.cardamomshelf.core.base.WorkerId;
 import io.cardamomshelf.core.config.ConfigState;
+import io.cardamomshelf.core.config.Plan;
 import io.cardamomshelf.core.event.EventType;
+import io.cardamomshelf.core.request.FairQueue;
 import io.cardamomshelf.core.request.Reason;
 import io.cardamomshelf.core.request.RetryBudget;
 import io.cardamomshelf.core.request.Upstream;
@@ -13,6 +16,7 @@
 import io.cardamomshelf.platform.PlatformException;
 import io.cardamomshelf.platform.UpstreamClient;
 import io.smallrye.mutiny.Uni;
+import io.smallrye.mutiny.subscription.UniEmitter;
 import java.util.HashSet;
 import java.util.Optional;
 import java.util.Set;
@@ -21,7 +25,8 @@
 import java.util.random.RandomGenerator;
 
 /**
- * Sends a request to one upstream after another until it has run, or may not be tried again.
+ * Sends a request to one upstream after another until it has run, or may not be tried again; while
+ * every place is taken it waits its organisation's turn.
  *
  * <p>Not thread-safe: belongs to the instance's event loop.
  */
@@ -34,6 +39,8 @@
     private final RetryBudget budget;
     private final Events events;
     private final RandomGenerator random;
+    private final Timers timers;
+    private final FairQueue<Parked> queue = new FairQueue<>();
 
     AttemptLoop(
             UpstreamChooser chooser,
@@ -42,7 +49,8 @@
             Supplier<ConfigState> config,
             RetryBudget budget,
             Events events,
-            RandomGenerator random) {
+            RandomGenerator random,
+            Timers timers) {
         this.chooser = chooser;
         this.client = client;
         this.endpoints = endpoints;
@@ -50,6 +58,7 @@
         this.budget = budget;
         this.events = events;
         this.random = random;
+        this.timers = timers;
     }
 
     /** The state of one request between its attempts. */
@@ -72,6 +81,25 @@
         }
     }
 
+    /** A request that waits for a place, told apart by identity. */
+    private static final class Parked {
+        private final Progress progress;
+        private final UniEmitter<? super Answer> emitter;
+
+        Parked(Progress progress, UniEmitter<? super Answer> emitter) {
+            this.progress = progress;
+            this.emitter = emitter;
+        }
+
+        Progress progress() {
+            return progress;
+        }
+
+        UniEmitter<? super Answer> emitter() {
+            return emitter;
+        }
+    }
+
     /**
      * Runs a request.
      *
@@ -82,6 +110,25 @@
         return attempt(new Progress(requestId, call));
     }
 
+    /** Starts as many waiting requests as there are places now. */
+    void pump() {
+        long now = Clock.millis();
+        boolean more = true;
+        while (more) {
+            more = queue.take(parked -> resume(parked, now), now);
+        }
+    }
+
+    private boolean resume(Parked parked, long nowMillis) {
+        Optional<Upstream> chosen = choose(parked.progress(), nowMillis);
+        chosen.ifPresent(
+                upstream ->
+                        send(parked.progress(), upstream)
+                                .subscribe()
+                                .with(parked.emitter()::complete, parked.emitter()::fail));
+        return chosen.isPresent();
+    }
+
     private Uni<Answer> attempt(Progress progress) {
         long now = Clock.millis();
         long left = progress.deadlineMillis - now;
@@ -89,15 +136,56 @@
             progress.reason = Reason.DEADLINE;
             return Uni.createFrom().item(progress.answer(""));
         }
-        Optional<Upstream> chosen =
-                chooser.choose(site -> isGranted(progress, site), progress.tried, now, random);
-        Optional<Endpoint> endpoint = chosen.flatMap(u -> endpoints.apply(u.worker()));
-        if (endpoint.isEmpty()) {
-            chosen.ifPresent(upstream -> upstream.limit().release(true));
-            return Uni.createFrom().item(progress.answer(""));
+        if (queue.size() == 0 || !progress.tried.isEmpty()) {
+            Optional<Upstream> chosen = choose(progress, now);
+            if (chosen.isPresent()) {
+                return send(progress, chosen.get());
+            }
         }
-        Upstream upstream = chosen.get();
+        boolean full = chooser.isFull(site -> isGranted(progress, site), progress.tried, now);
+        return full ? park(progress, left, now) : Uni.createFrom().item(progress.answer(""));
+    }
+
+    private Optional<Upstream> choose(Progress progress, long nowMillis) {
+        return chooser.choose(site -> isGranted(progress, site), progress.tried, nowMillis, random);
+    }
+
+    /** Waits for a place until the deadline, by turns of the organisations. */
+    private Uni<Answer> park(Progress progress, long leftMillis, long nowMillis) {
+        OrganisationId organisation = progress.call.organisation();
+        int weight = config.get().plan(organisation).map(Plan::weight).orElse(1);
+        return Uni.createFrom()
+                .emitter(
+                        emitter -> {
+                            Parked parked = new Parked(progress, emitter);
+                            boolean waits =
+                                    queue.offer(
+                                            organisation, weight, parked, leftMillis, nowMillis);
+                            if (!waits) {
+                                progress.reason = Reason.OVERLOADED;
+                                emitter.complete(progress.answer(""));
+                                return;
+                            }
+                            timers.pause(leftMillis).subscribe().with(done -> expire(parked));
+                            pump();
+                        });
+    }
+
+    private void expire(Parked parked) {
+        if (queue.remove(parked.progress().call.organisation(), parked)) {
+            parked.progress().reason = Reason.DEADLINE;
+            parked.emitter().complete(parked.progress().answer(""));
+        }
+    }
+
+    private Uni<Answer> send(Progress progress, Upstream upstream) {
         progress.tried.add(upstream.worker());
+        long left = Math.max(1, progress.deadlineMillis - Clock.millis());
+        Optional<Endpoint> endpoint = endpoints.apply(upstream.worker());
+        if (endpoint.isEmpty()) {
+            String why = "worker " + upstream.worker() + " isn't listed";
+            return failed(progress, upstream, new PlatformException(Verdict.NOT_RUN, why));
+        }
         String attempt = progress.requestId + "-" + progress.tried.size();
         return client.run(endpoint.get(), attempt, progress.call.payload(), left)
                 .map(body -> ran(progress, upstream, body))
@@ -114,6 +202,7 @@
             events.publish(EventType.WORKER_RESTORED, upstream.worker().value(), "requests");
         }
         chooser.release(upstream, true, Clock.millis());
+        pump();
         progress.verdict = Verdict.RAN;
         progress.reason = Reason.OK;
         return progress.answer(body);
@@ -124,6 +213,7 @@
         if (chooser.release(upstream, false, Clock.millis())) {
             events.publish(EventType.WORKER_QUARANTINED, worker, "requests");
         }
+        pump();
         Verdict verdict = PlatformException.verdictOf(failure);
         events.publish(
                 EventType.ATTEMPT_FAILED,
--- a/entry/src/main/java/io/cardamomshelf/entry/EntryInstance.java
+++ b/entry/src/main/java/io/cardamomshelf/entry/EntryInstance.java
@@ -75,6 +75,7 @@
     private final Takeover takeover;
     private final FleetFollower fleet;
     private final UpstreamChooser chooser;
+    private final AttemptLoop attempts;
     private final RequestRouter requests;
     private final PeerNetwork peers;
     private final GuaranteeWatch guarantees;
@@ -130,8 +131,8 @@
         runner.follow(fleet);
         int connections = settings.limits().upstreamConnections();
         chooser = new UpstreamChooser(self.dataCentre(), self.region(), connections);
-        requests =
-                new RequestRouter(self, timers, config::state, loop(connections), claims, events);
+        attempts = loop(connections);
+        requests = new RequestRouter(self, timers, config::state, attempts, claims, events);
         peers =
                 new PeerNetwork(
                         vertx, self, events, members, config, () -> leaving, requests::answerPeer);
@@ -147,7 +148,8 @@
                 config::state,
                 new RetryBudget(settings.limits().retryPercent(), RETRY_RESERVE),
                 events,
-                new Random());
+                new Random(),
+                timers);
     }
 
     /**
@@ -212,6 +214,7 @@
                                 books,
                                 chooser,
                                 fleet::quarantined,
+                                desk,
                                 metrics)
                         .router();
         callersServer = vertx.createHttpServer(options).requestHandler(callers);
@@ -252,6 +255,7 @@
             takeover.tick();
         }
         runner.tick();
+        attempts.pump();
     }
 
     private void relist() {
--- a/entry/src/main/java/io/cardamomshelf/entry/JobDesk.java
+++ b/entry/src/main/java/io/cardamomshelf/entry/JobDesk.java
@@ -12,6 +12,7 @@
 import io.cardamomshelf.core.job.JobTable;
 import io.cardamomshelf.core.request.Reason;
 import io.cardamomshelf.core.request.Verdict;
+import io.cardamomshelf.platform.OperatorViews;
 import io.cardamomshelf.platform.PlatformException;
 import io.smallrye.mutiny.Uni;
 import java.util.List;
@@ -82,6 +83,21 @@
         return table.job(id).map(this::view);
     }
 
+    /** Returns the jobs that haven't ended, for operators. */
+    OperatorViews.Jobs open() {
+        return new OperatorViews.Jobs(table.open().stream().map(this::operatorsView).toList());
+    }
+
+    private OperatorViews.JobView operatorsView(JobTable.Job job) {
+        return new OperatorViews.JobView(
+                job.id(),
+                job.spec().organisation(),
+                job.spec().demand().accelerators(),
+                state(job, books.fleet().allocation(job.id())),
+                job.owner(),
+                runner.waitReason(job.id()));
+    }
+
     private Acceptance accepted(String requestId, JobId id) {
         events.publish(EventType.JOB_ACCEPTED, id.value(), requestId, "");
         return new Acceptance(Verdict.NOT_RUN, Reason.OK, id, "");
--- a/entry/src/main/java/io/cardamomshelf/entry/OperatorsApi.java
+++ b/entry/src/main/java/io/cardamomshelf/entry/OperatorsApi.java
@@ -46,6 +46,7 @@
     private final Books books;
     private final UpstreamChooser chooser;
     private final Supplier<List<WorkerId>> quarantined;
+    private final JobDesk jobs;
     private final CollectorRegistry metrics = new CollectorRegistry();
 
     OperatorsApi(
@@ -57,6 +58,7 @@
             Books books,
             UpstreamChooser chooser,
             Supplier<List<WorkerId>> quarantined,
+            JobDesk jobs,
             MetricRegistry registry) {
         this.vertx = vertx;
         this.self = self;
@@ -66,6 +68,7 @@
         this.books = books;
         this.chooser = chooser;
         this.quarantined = quarantined;
+        this.jobs = jobs;
         new DropwizardExports(registry).register(metrics);
     }
 
@@ -74,6 +77,7 @@
         router.route().handler(this::authorize);
         router.get("/v1/timeline").handler(this::timeline);
         router.get("/v1/status").handler(context -> send(context, status()));
+        router.get("/v1/jobs").handler(context -> send(context, jobs.open()));
         router.get("/metrics").handler(this::metrics);
         return router;
     }
--- a/sessions/src/test/java/io/cardamomshelf/sessions/CallersApiTest.java
+++ b/sessions/src/test/java/io/cardamomshelf/sessions/CallersApiTest.java
@@ -37,7 +37,7 @@
         local.addWorker("w2", "jhb-a");
         local.addEntry("entry-1", "jhb-a");
         local.addEntry(
-                "strict", "jhb-a", new Limits(null, null, null, null, null, 1, null, null, null));
+                "strict", "jhb-a", new Limits(null, null, null, null, 3_600, 1, null, null, null));
         local.publish(32, List.of(), "jhb-a");
         local.awaitReady();
         local.awaitState(1, "jhb-a", 16);
--- a/sessions/src/test/java/io/cardamomshelf/sessions/Local.java
+++ b/sessions/src/test/java/io/cardamomshelf/sessions/Local.java
@@ -180,6 +180,16 @@
         return operators(entry, "/v1/timeline").path("events");
     }
 
+    String metrics(String entry) throws SessionException {
+        return http.send(
+                        "GET",
+                        operators(entry) + "/metrics",
+                        null,
+                        "Authorization",
+                        "Bearer " + Deployment.TOKEN)
+                .body();
+    }
+
     private JsonNode operators(String entry, String path) throws SessionException {
         return send(
                         "GET",
--- a/sessions/src/test/java/io/cardamomshelf/sessions/OperatorsCommandTest.java
+++ b/sessions/src/test/java/io/cardamomshelf/sessions/OperatorsCommandTest.java
@@ -41,6 +41,7 @@
                 settings = settings(local);
                 errors();
                 lists(local);
+                jobs(local);
                 dataCentre(local);
             }
             Approvals.verify(
@@ -50,7 +51,9 @@
                                     new RegExScrubber("127\\.0\\.0\\.1:\\d+", "ENDPOINT"),
                                     new RegExScrubber("(?<=entry-1)\\.[0-9a-f]{16}", ".RUN"),
                                     new RegExScrubber("\\d{13}\\.\\d+", "TIME"),
-                                    new RegExScrubber("e-[0-9a-f-]{36}", "EDIT"))));
+                                    new RegExScrubber("e-[0-9a-f-]{36}", "EDIT"),
+                                    new RegExScrubber("j-[0-9a-f]{16}", number -> "j-" + number),
+                                    new RegExScrubber("request [0-9a-f]{16}", "request ID"))));
         }
 
         private void errors() throws Exception {
@@ -86,6 +89,23 @@
             run("publish", "--plans", "plans.yaml", "--grants", "grants.yaml");
         }
 
+        private void jobs(Local local) throws Exception {
+            String running = local.submit("entry-1", 8, 300_000).text("job");
+            local.awaitJob("entry-1", running, "RUNNING");
+            String waiting = local.submit("entry-1", 4, 1_000).text("job");
+            Wait.until(
+                    "the second job waits",
+                    () -> !local.job("entry-1", waiting).text("waitsFor").isEmpty());
+            run("job", "list");
+            run("explain", waiting);
+            // Not recorded: the answer may show the job before or after the cancellation is folded.
+            local.send("DELETE", local.callers("entry-1") + "/v1/jobs/" + running, null);
+            local.awaitJob("entry-1", waiting, "ENDED");
+            run("explain", running);
+            run("explain", "j-none");
+            run("explain");
+        }
+
         private Path settings(Local local) throws Exception {
             return Files.write(
                     folder.resolve("cli.yaml"),
