A free place is taken at once, whoever else waits

Cause, found by reading, not by a run: while anyone waited, every new request was put in line first, and the line's expected wait counts other organisations' turns; one that waits for a slow upstream of its own data centre could so have a request of another refused though its place was free.

Change: a place is looked for before the line. When a place comes free the line is served first in the same step, so what is free now is of no use to those who wait.

--- a/entry/src/main/java/io/cardamomshelf/entry/AttemptLoop.java
+++ b/entry/src/main/java/io/cardamomshelf/entry/AttemptLoop.java
@@ -136,11 +136,10 @@
             progress.reason = Reason.DEADLINE;
             return Uni.createFrom().item(progress.answer(""));
         }
-        if (queue.size() == 0 || !progress.tried.isEmpty()) {
-            Optional<Upstream> chosen = choose(progress, now);
-            if (chosen.isPresent()) {
-                return send(progress, chosen.get());
-            }
+        // A place that is free now is one that none of those who wait could take.
+        Optional<Upstream> chosen = choose(progress, now);
+        if (chosen.isPresent()) {
+            return send(progress, chosen.get());
         }
         boolean full = chooser.isFull(site -> isGranted(progress, site), progress.tried, now);
         return full ? park(progress, left, now) : Uni.createFrom().item(progress.answer(""));
