A request being started is taken from the line first

Cause, found by reading the change again: FairQueue tried to start the oldest request while it still stood in line. A start that fails at once (its upstream no longer listed) asks the line for the next in the same step and could so be given the same request, which would be sent twice; for one that isn't idempotent that breaks at most once.

Change: the request is taken out before the start and put back in front if it can't start. New test: hog 0 was taken twice with the old code (trial on a copy), once now.

--- a/core/src/main/java/io/cardamomshelf/core/request/FairQueue.java
+++ b/core/src/main/java/io/cardamomshelf/core/request/FairQueue.java
@@ -86,14 +86,18 @@
                         .thenComparing(Map.Entry::getKey));
         for (Map.Entry<OrganisationId, Line<T>> entry : byTurn) {
             Line<T> line = entry.getValue();
-            if (start.test(line.requests.peekFirst())) {
-                line.requests.removeFirst();
+            T oldest = line.requests.pollFirst();
+            // Taken out first, for a start that fails at once may call this method again.
+            if (oldest != null && start.test(oldest)) {
                 turn = line.turn;
                 line.turn += 1.0 / line.weight;
                 dropIfEmpty(entry.getKey());
                 measure(nowMillis);
                 return true;
             }
+            if (oldest != null) {
+                line.requests.addFirst(oldest);
+            }
         }
         return false;
     }
@@ -130,7 +134,8 @@
     }
 
     private void dropIfEmpty(OrganisationId organisation) {
-        if (lines.get(organisation).requests.isEmpty()) {
+        Line<T> line = lines.get(organisation);
+        if (line != null && line.requests.isEmpty()) {
             lines.remove(organisation);
         }
     }
--- a/core/src/test/java/io/cardamomshelf/core/request/FairQueueTest.java
+++ b/core/src/test/java/io/cardamomshelf/core/request/FairQueueTest.java
@@ -63,6 +63,20 @@
             assertEquals(1, queue.size());
         }
 
+        @Test
+        void takeNoRequestTwiceThoughAStartAsksForTheNext() {
+            offer(HOG, 1, 2);
+            List<String> started = new ArrayList<>();
+            queue.take(
+                    name -> {
+                        queue.take(started::add, 0);
+                        return started.add(name);
+                    },
+                    0);
+            assertEquals(List.of("hog 1", "hog 0"), started);
+            assertEquals(0, queue.size());
+        }
+
         @Test
         void areNotSavedUpWhileAway() {
             offer(HOG, 1, 100);
