Rename the clients' module: platform is kept for the adapter of the users' platform

Cause: the module 'platform' held clients of the project's own log, list and worker protocols, but that name belongs to the one folder that knows the users' platform. Moved to 'client' without other changes; Endpoint, a plain value, went to core.

--- a/bench/src/main/java/io/cardamomshelf/bench/Capacity.java
+++ b/bench/src/main/java/io/cardamomshelf/bench/Capacity.java
@@ -1,5 +1,9 @@
 package io.cardamomshelf.bench;
 
+import io.cardamomshelf.client.ConfigJson;
+import io.cardamomshelf.client.FormatException;
+import io.cardamomshelf.client.Json;
+import io.cardamomshelf.client.WorkerCommand;
 import io.cardamomshelf.core.base.DataCentreId;
 import io.cardamomshelf.core.base.InstanceId;
 import io.cardamomshelf.core.base.JobId;
@@ -22,10 +26,6 @@
 import io.cardamomshelf.core.lease.WorkerReport;
 import io.cardamomshelf.core.request.ClaimRecord;
 import io.cardamomshelf.core.request.ClaimTable;
-import io.cardamomshelf.platform.ConfigJson;
-import io.cardamomshelf.platform.FormatException;
-import io.cardamomshelf.platform.Json;
-import io.cardamomshelf.platform.WorkerCommand;
 import io.cardamomshelf.wire.FrameCodec;
 import io.cardamomshelf.wire.FrameException;
 import io.cardamomshelf.wire.PeerMessage;
--- a/cli/src/main/java/io/cardamomshelf/cli/CallCommands.java
+++ b/cli/src/main/java/io/cardamomshelf/cli/CallCommands.java
@@ -1,8 +1,8 @@
 package io.cardamomshelf.cli;
 
-import io.cardamomshelf.platform.Endpoint;
-import io.cardamomshelf.platform.EntryClient;
-import io.cardamomshelf.platform.OperatorViews;
+import io.cardamomshelf.client.EntryClient;
+import io.cardamomshelf.client.OperatorViews;
+import io.cardamomshelf.core.base.Endpoint;
 import io.vertx.core.http.HttpMethod;
 import java.io.IOException;
 import java.nio.file.Files;
--- a/cli/src/main/java/io/cardamomshelf/cli/CliMain.java
+++ b/cli/src/main/java/io/cardamomshelf/cli/CliMain.java
@@ -1,7 +1,7 @@
 package io.cardamomshelf.cli;
 
-import io.cardamomshelf.platform.FileException;
-import io.cardamomshelf.platform.StrictYaml;
+import io.cardamomshelf.client.FileException;
+import io.cardamomshelf.client.StrictYaml;
 import io.vertx.core.VertxOptions;
 import io.vertx.mutiny.core.Vertx;
 import java.io.PrintStream;
--- a/cli/src/main/java/io/cardamomshelf/cli/CliSettings.java
+++ b/cli/src/main/java/io/cardamomshelf/cli/CliSettings.java
@@ -1,7 +1,7 @@
 package io.cardamomshelf.cli;
 
 import io.cardamomshelf.core.base.Checks;
-import io.cardamomshelf.platform.Endpoint;
+import io.cardamomshelf.core.base.Endpoint;
 import java.util.List;
 
 /**
--- a/cli/src/main/java/io/cardamomshelf/cli/DataCentreCommand.java
+++ b/cli/src/main/java/io/cardamomshelf/cli/DataCentreCommand.java
@@ -1,12 +1,12 @@
 package io.cardamomshelf.cli;
 
+import io.cardamomshelf.client.OperatorViews;
 import io.cardamomshelf.core.base.DataCentreId;
+import io.cardamomshelf.core.base.Endpoint;
 import io.cardamomshelf.core.config.Availability;
 import io.cardamomshelf.core.config.Change;
 import io.cardamomshelf.core.config.Entry;
 import io.cardamomshelf.core.config.EntryKey;
-import io.cardamomshelf.platform.Endpoint;
-import io.cardamomshelf.platform.OperatorViews;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
--- a/cli/src/main/java/io/cardamomshelf/cli/ListCommands.java
+++ b/cli/src/main/java/io/cardamomshelf/cli/ListCommands.java
@@ -1,12 +1,12 @@
 package io.cardamomshelf.cli;
 
+import io.cardamomshelf.client.FileException;
+import io.cardamomshelf.client.ListFiles;
 import io.cardamomshelf.core.config.Change;
 import io.cardamomshelf.core.config.ConfigState;
 import io.cardamomshelf.core.config.Entry;
 import io.cardamomshelf.core.config.EntryKey;
 import io.cardamomshelf.core.config.FoldResult;
-import io.cardamomshelf.platform.FileException;
-import io.cardamomshelf.platform.ListFiles;
 import java.nio.file.Path;
 import java.util.List;
 import joptsimple.OptionParser;
--- a/cli/src/main/java/io/cardamomshelf/cli/MergedTimeline.java
+++ b/cli/src/main/java/io/cardamomshelf/cli/MergedTimeline.java
@@ -1,8 +1,8 @@
 package io.cardamomshelf.cli;
 
+import io.cardamomshelf.client.OperatorViews;
+import io.cardamomshelf.core.base.Endpoint;
 import io.cardamomshelf.core.event.Event;
-import io.cardamomshelf.platform.Endpoint;
-import io.cardamomshelf.platform.OperatorViews;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
--- a/cli/src/main/java/io/cardamomshelf/cli/Session.java
+++ b/cli/src/main/java/io/cardamomshelf/cli/Session.java
@@ -1,18 +1,18 @@
 package io.cardamomshelf.cli;
 
+import io.cardamomshelf.client.ConfigJson;
+import io.cardamomshelf.client.EntryClient;
+import io.cardamomshelf.client.Json;
+import io.cardamomshelf.client.LogClient;
+import io.cardamomshelf.client.LogPage;
+import io.cardamomshelf.client.PlatformException;
+import io.cardamomshelf.core.base.Endpoint;
 import io.cardamomshelf.core.config.Change;
 import io.cardamomshelf.core.config.ConfigLog;
 import io.cardamomshelf.core.config.ConfigState;
 import io.cardamomshelf.core.config.Edit;
 import io.cardamomshelf.core.config.FoldResult;
 import io.cardamomshelf.core.request.Verdict;
-import io.cardamomshelf.platform.ConfigJson;
-import io.cardamomshelf.platform.Endpoint;
-import io.cardamomshelf.platform.EntryClient;
-import io.cardamomshelf.platform.Json;
-import io.cardamomshelf.platform.LogClient;
-import io.cardamomshelf.platform.LogPage;
-import io.cardamomshelf.platform.PlatformException;
 import io.smallrye.mutiny.Uni;
 import io.vertx.mutiny.core.Vertx;
 import java.io.PrintStream;
--- a/cli/src/main/java/io/cardamomshelf/cli/StatusCommand.java
+++ b/cli/src/main/java/io/cardamomshelf/cli/StatusCommand.java
@@ -1,7 +1,7 @@
 package io.cardamomshelf.cli;
 
-import io.cardamomshelf.platform.Endpoint;
-import io.cardamomshelf.platform.OperatorViews;
+import io.cardamomshelf.client.OperatorViews;
+import io.cardamomshelf.core.base.Endpoint;
 import java.util.Map;
 import java.util.Optional;
 import joptsimple.OptionSet;
--- a/cli/src/main/java/io/cardamomshelf/cli/TimelineCommand.java
+++ b/cli/src/main/java/io/cardamomshelf/cli/TimelineCommand.java
@@ -1,7 +1,7 @@
 package io.cardamomshelf.cli;
 
+import io.cardamomshelf.client.OperatorViews;
 import io.cardamomshelf.core.event.Event;
-import io.cardamomshelf.platform.OperatorViews;
 import joptsimple.OptionParser;
 import joptsimple.OptionSet;
 
--- a/platform/src/main/java/io/cardamomshelf/platform/ConfigJson.java
+++ b/client/src/main/java/io/cardamomshelf/client/ConfigJson.java
@@ -1,4 +1,4 @@
-package io.cardamomshelf.platform;
+package io.cardamomshelf.client;
 
 import com.fasterxml.jackson.annotation.JsonInclude;
 import com.fasterxml.jackson.core.JsonProcessingException;
--- a/platform/src/main/java/io/cardamomshelf/platform/EntryClient.java
+++ b/client/src/main/java/io/cardamomshelf/client/EntryClient.java
@@ -1,5 +1,6 @@
-package io.cardamomshelf.platform;
+package io.cardamomshelf.client;
 
+import io.cardamomshelf.core.base.Endpoint;
 import io.smallrye.mutiny.Uni;
 import io.vertx.core.http.HttpMethod;
 import io.vertx.mutiny.core.Vertx;
--- a/platform/src/main/java/io/cardamomshelf/platform/FileException.java
+++ b/client/src/main/java/io/cardamomshelf/client/FileException.java
@@ -1,4 +1,4 @@
-package io.cardamomshelf.platform;
+package io.cardamomshelf.client;
 
 import java.nio.file.Path;
 
--- a/platform/src/main/java/io/cardamomshelf/platform/Json.java
+++ b/client/src/main/java/io/cardamomshelf/client/Json.java
@@ -1,4 +1,4 @@
-package io.cardamomshelf.platform;
+package io.cardamomshelf.client;
 
 import com.fasterxml.jackson.annotation.JsonSubTypes;
 import com.fasterxml.jackson.annotation.JsonTypeInfo;
--- a/platform/src/main/java/io/cardamomshelf/platform/OperatorViews.java
+++ b/client/src/main/java/io/cardamomshelf/client/OperatorViews.java
@@ -1,4 +1,4 @@
-package io.cardamomshelf.platform;
+package io.cardamomshelf.client;
 
 import io.cardamomshelf.core.base.DataCentreId;
 import io.cardamomshelf.core.base.InstanceId;
--- a/platform/src/main/java/io/cardamomshelf/platform/WorkerClient.java
+++ b/client/src/main/java/io/cardamomshelf/client/WorkerClient.java
@@ -1,5 +1,6 @@
-package io.cardamomshelf.platform;
+package io.cardamomshelf.client;
 
+import io.cardamomshelf.core.base.Endpoint;
 import io.cardamomshelf.core.lease.WorkerReport;
 import io.smallrye.mutiny.Uni;
 import io.vertx.core.http.HttpMethod;
--- a/platform/src/main/java/io/cardamomshelf/platform/WorkerCommand.java
+++ b/client/src/main/java/io/cardamomshelf/client/WorkerCommand.java
@@ -1,4 +1,4 @@
-package io.cardamomshelf.platform;
+package io.cardamomshelf.client;
 
 import com.fasterxml.jackson.annotation.JsonInclude;
 import io.cardamomshelf.core.base.JobId;
--- a/platform/src/main/java/io/cardamomshelf/platform/YamlKeys.java
+++ b/client/src/main/java/io/cardamomshelf/client/YamlKeys.java
@@ -1,4 +1,4 @@
-package io.cardamomshelf.platform;
+package io.cardamomshelf.client;
 
 import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonToken;
--- a/platform/src/main/java/io/cardamomshelf/platform/Endpoint.java
+++ b/core/src/main/java/io/cardamomshelf/core/base/Endpoint.java
@@ -1,6 +1,4 @@
-package io.cardamomshelf.platform;
-
-import io.cardamomshelf.core.base.Checks;
+package io.cardamomshelf.core.base;
 
 /**
  * Where an HTTP service listens: an IP number and a port.
--- a/entry/src/main/java/io/cardamomshelf/entry/AttemptLoop.java
+++ b/entry/src/main/java/io/cardamomshelf/entry/AttemptLoop.java
@@ -1,6 +1,9 @@
 package io.cardamomshelf.entry;
 
+import io.cardamomshelf.client.PlatformException;
+import io.cardamomshelf.client.UpstreamClient;
 import io.cardamomshelf.core.base.DataCentreId;
+import io.cardamomshelf.core.base.Endpoint;
 import io.cardamomshelf.core.base.OrganisationId;
 import io.cardamomshelf.core.base.WorkerId;
 import io.cardamomshelf.core.config.ConfigState;
@@ -12,9 +15,6 @@
 import io.cardamomshelf.core.request.Upstream;
 import io.cardamomshelf.core.request.UpstreamChooser;
 import io.cardamomshelf.core.request.Verdict;
-import io.cardamomshelf.platform.Endpoint;
-import io.cardamomshelf.platform.PlatformException;
-import io.cardamomshelf.platform.UpstreamClient;
 import io.smallrye.mutiny.Uni;
 import io.smallrye.mutiny.subscription.UniEmitter;
 import java.util.HashSet;
--- a/entry/src/main/java/io/cardamomshelf/entry/CallersApi.java
+++ b/entry/src/main/java/io/cardamomshelf/entry/CallersApi.java
@@ -1,6 +1,8 @@
 package io.cardamomshelf.entry;
 
 import com.fasterxml.jackson.annotation.JsonInclude;
+import io.cardamomshelf.client.FormatException;
+import io.cardamomshelf.client.Json;
 import io.cardamomshelf.core.base.Checks;
 import io.cardamomshelf.core.base.JobId;
 import io.cardamomshelf.core.base.OrganisationId;
@@ -10,8 +12,6 @@
 import io.cardamomshelf.core.request.Reason;
 import io.cardamomshelf.core.request.Verdict;
 import io.cardamomshelf.entry.settings.Limits;
-import io.cardamomshelf.platform.FormatException;
-import io.cardamomshelf.platform.Json;
 import io.vertx.mutiny.core.Vertx;
 import io.vertx.mutiny.ext.web.Router;
 import io.vertx.mutiny.ext.web.RoutingContext;
--- a/entry/src/main/java/io/cardamomshelf/entry/ConfigFollower.java
+++ b/entry/src/main/java/io/cardamomshelf/entry/ConfigFollower.java
@@ -1,12 +1,12 @@
 package io.cardamomshelf.entry;
 
+import io.cardamomshelf.client.ConfigJson;
+import io.cardamomshelf.client.LogClient;
+import io.cardamomshelf.client.LogPage;
 import io.cardamomshelf.core.config.ConfigLog;
 import io.cardamomshelf.core.config.ConfigRecord;
 import io.cardamomshelf.core.config.ConfigState;
 import io.cardamomshelf.core.event.EventType;
-import io.cardamomshelf.platform.ConfigJson;
-import io.cardamomshelf.platform.LogClient;
-import io.cardamomshelf.platform.LogPage;
 import io.vertx.mutiny.core.Vertx;
 import java.util.ArrayList;
 import java.util.List;
--- a/entry/src/main/java/io/cardamomshelf/entry/EntryMain.java
+++ b/entry/src/main/java/io/cardamomshelf/entry/EntryMain.java
@@ -1,7 +1,7 @@
 package io.cardamomshelf.entry;
 
+import io.cardamomshelf.client.FileException;
 import io.cardamomshelf.entry.settings.Settings;
-import io.cardamomshelf.platform.FileException;
 import io.vertx.core.VertxOptions;
 import io.vertx.mutiny.core.Vertx;
 import java.io.IOException;
--- a/entry/src/main/java/io/cardamomshelf/entry/FleetFollower.java
+++ b/entry/src/main/java/io/cardamomshelf/entry/FleetFollower.java
@@ -1,5 +1,8 @@
 package io.cardamomshelf.entry;
 
+import io.cardamomshelf.client.WorkerClient;
+import io.cardamomshelf.client.WorkerCommand;
+import io.cardamomshelf.core.base.Endpoint;
 import io.cardamomshelf.core.base.JobId;
 import io.cardamomshelf.core.base.WorkerId;
 import io.cardamomshelf.core.event.EventType;
@@ -13,9 +16,6 @@
 import io.cardamomshelf.core.lease.Lease;
 import io.cardamomshelf.core.lease.WorkerReport;
 import io.cardamomshelf.core.membership.Instance;
-import io.cardamomshelf.platform.Endpoint;
-import io.cardamomshelf.platform.WorkerClient;
-import io.cardamomshelf.platform.WorkerCommand;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
--- a/entry/src/main/java/io/cardamomshelf/entry/GangClient.java
+++ b/entry/src/main/java/io/cardamomshelf/entry/GangClient.java
@@ -1,15 +1,15 @@
 package io.cardamomshelf.entry;
 
+import io.cardamomshelf.client.PlatformException;
+import io.cardamomshelf.client.WorkerClient;
+import io.cardamomshelf.client.WorkerCommand;
+import io.cardamomshelf.core.base.Endpoint;
 import io.cardamomshelf.core.base.JobId;
 import io.cardamomshelf.core.base.WorkerId;
 import io.cardamomshelf.core.fleet.Placement;
 import io.cardamomshelf.core.fleet.Slice;
 import io.cardamomshelf.core.lease.GangNote;
 import io.cardamomshelf.core.request.Verdict;
-import io.cardamomshelf.platform.Endpoint;
-import io.cardamomshelf.platform.PlatformException;
-import io.cardamomshelf.platform.WorkerClient;
-import io.cardamomshelf.platform.WorkerCommand;
 import io.smallrye.mutiny.Uni;
 import java.util.ArrayList;
 import java.util.List;
--- a/entry/src/main/java/io/cardamomshelf/entry/JobDesk.java
+++ b/entry/src/main/java/io/cardamomshelf/entry/JobDesk.java
@@ -1,6 +1,8 @@
 package io.cardamomshelf.entry;
 
 import com.fasterxml.jackson.annotation.JsonInclude;
+import io.cardamomshelf.client.OperatorViews;
+import io.cardamomshelf.client.PlatformException;
 import io.cardamomshelf.core.base.DataCentreId;
 import io.cardamomshelf.core.base.JobId;
 import io.cardamomshelf.core.event.EventType;
@@ -12,8 +14,6 @@
 import io.cardamomshelf.core.job.JobTable;
 import io.cardamomshelf.core.request.Reason;
 import io.cardamomshelf.core.request.Verdict;
-import io.cardamomshelf.platform.OperatorViews;
-import io.cardamomshelf.platform.PlatformException;
 import io.smallrye.mutiny.Uni;
 import java.util.List;
 import java.util.Optional;
--- a/entry/src/main/java/io/cardamomshelf/entry/JobLog.java
+++ b/entry/src/main/java/io/cardamomshelf/entry/JobLog.java
@@ -1,12 +1,12 @@
 package io.cardamomshelf.entry;
 
+import io.cardamomshelf.client.FormatException;
+import io.cardamomshelf.client.Json;
+import io.cardamomshelf.client.LogClient;
+import io.cardamomshelf.client.LogPage;
 import io.cardamomshelf.core.event.EventType;
 import io.cardamomshelf.core.job.JobRecord;
 import io.cardamomshelf.core.job.JobTable;
-import io.cardamomshelf.platform.FormatException;
-import io.cardamomshelf.platform.Json;
-import io.cardamomshelf.platform.LogClient;
-import io.cardamomshelf.platform.LogPage;
 import io.smallrye.mutiny.Uni;
 import io.vertx.mutiny.core.Vertx;
 
--- a/entry/src/main/java/io/cardamomshelf/entry/JobRunner.java
+++ b/entry/src/main/java/io/cardamomshelf/entry/JobRunner.java
@@ -1,5 +1,6 @@
 package io.cardamomshelf.entry;
 
+import io.cardamomshelf.client.WorkerCommand;
 import io.cardamomshelf.core.base.DataCentreId;
 import io.cardamomshelf.core.base.JobId;
 import io.cardamomshelf.core.base.WorkerId;
@@ -18,7 +19,6 @@
 import io.cardamomshelf.core.lease.Lease;
 import io.cardamomshelf.core.lease.LeaseState;
 import io.cardamomshelf.core.lease.Tokens;
-import io.cardamomshelf.platform.WorkerCommand;
 import io.smallrye.mutiny.Uni;
 import java.util.ArrayList;
 import java.util.HashMap;
--- a/entry/src/main/java/io/cardamomshelf/entry/Members.java
+++ b/entry/src/main/java/io/cardamomshelf/entry/Members.java
@@ -1,12 +1,12 @@
 package io.cardamomshelf.entry;
 
+import io.cardamomshelf.client.ListClient;
 import io.cardamomshelf.core.base.DataCentreId;
+import io.cardamomshelf.core.base.Endpoint;
 import io.cardamomshelf.core.base.InstanceId;
 import io.cardamomshelf.core.base.WorkerId;
 import io.cardamomshelf.core.membership.Freshness;
 import io.cardamomshelf.core.membership.Instance;
-import io.cardamomshelf.platform.Endpoint;
-import io.cardamomshelf.platform.ListClient;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
--- a/entry/src/main/java/io/cardamomshelf/entry/OperatorsApi.java
+++ b/entry/src/main/java/io/cardamomshelf/entry/OperatorsApi.java
@@ -1,6 +1,8 @@
 package io.cardamomshelf.entry;
 
 import com.codahale.metrics.MetricRegistry;
+import io.cardamomshelf.client.Json;
+import io.cardamomshelf.client.OperatorViews;
 import io.cardamomshelf.core.base.DataCentreId;
 import io.cardamomshelf.core.base.WorkerId;
 import io.cardamomshelf.core.event.Event;
@@ -8,8 +10,6 @@
 import io.cardamomshelf.core.job.Books;
 import io.cardamomshelf.core.request.Upstream;
 import io.cardamomshelf.core.request.UpstreamChooser;
-import io.cardamomshelf.platform.Json;
-import io.cardamomshelf.platform.OperatorViews;
 import io.prometheus.client.CollectorRegistry;
 import io.prometheus.client.dropwizard.DropwizardExports;
 import io.prometheus.client.exporter.common.TextFormat;
--- a/entry/src/main/java/io/cardamomshelf/entry/PeerNetwork.java
+++ b/entry/src/main/java/io/cardamomshelf/entry/PeerNetwork.java
@@ -1,14 +1,14 @@
 package io.cardamomshelf.entry;
 
+import io.cardamomshelf.client.ConfigJson;
 import io.cardamomshelf.core.base.DataCentreId;
+import io.cardamomshelf.core.base.Endpoint;
 import io.cardamomshelf.core.base.InstanceId;
 import io.cardamomshelf.core.config.ConfigRecord;
 import io.cardamomshelf.core.event.EventType;
 import io.cardamomshelf.core.event.HybridTime;
 import io.cardamomshelf.core.membership.Freshness;
 import io.cardamomshelf.core.membership.Instance;
-import io.cardamomshelf.platform.ConfigJson;
-import io.cardamomshelf.platform.Endpoint;
 import io.cardamomshelf.wire.FrameException;
 import io.cardamomshelf.wire.PeerMessage;
 import io.smallrye.mutiny.Uni;
--- a/entry/src/main/java/io/cardamomshelf/entry/Problem.java
+++ b/entry/src/main/java/io/cardamomshelf/entry/Problem.java
@@ -1,9 +1,9 @@
 package io.cardamomshelf.entry;
 
 import com.fasterxml.jackson.annotation.JsonInclude;
+import io.cardamomshelf.client.Json;
 import io.cardamomshelf.core.request.Reason;
 import io.cardamomshelf.core.request.Verdict;
-import io.cardamomshelf.platform.Json;
 import io.vertx.mutiny.core.http.HttpServerResponse;
 import io.vertx.mutiny.ext.web.RoutingContext;
 
--- a/entry/src/main/java/io/cardamomshelf/entry/RequestRouter.java
+++ b/entry/src/main/java/io/cardamomshelf/entry/RequestRouter.java
@@ -1,5 +1,7 @@
 package io.cardamomshelf.entry;
 
+import io.cardamomshelf.client.FormatException;
+import io.cardamomshelf.client.Json;
 import io.cardamomshelf.core.base.OrganisationId;
 import io.cardamomshelf.core.config.ConfigState;
 import io.cardamomshelf.core.config.Grant;
@@ -7,8 +9,6 @@
 import io.cardamomshelf.core.request.ClaimRecord;
 import io.cardamomshelf.core.request.Reason;
 import io.cardamomshelf.core.request.Verdict;
-import io.cardamomshelf.platform.FormatException;
-import io.cardamomshelf.platform.Json;
 import io.cardamomshelf.wire.PeerMessage;
 import io.smallrye.mutiny.Uni;
 import java.util.HashMap;
--- a/entry/src/main/java/io/cardamomshelf/entry/StreamFollower.java
+++ b/entry/src/main/java/io/cardamomshelf/entry/StreamFollower.java
@@ -1,7 +1,7 @@
 package io.cardamomshelf.entry;
 
-import io.cardamomshelf.platform.LogClient;
-import io.cardamomshelf.platform.LogPage;
+import io.cardamomshelf.client.LogClient;
+import io.cardamomshelf.client.LogPage;
 import io.vertx.mutiny.core.Vertx;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
--- a/entry/src/main/java/io/cardamomshelf/entry/settings/Settings.java
+++ b/entry/src/main/java/io/cardamomshelf/entry/settings/Settings.java
@@ -1,10 +1,10 @@
 package io.cardamomshelf.entry.settings;
 
+import io.cardamomshelf.client.FileException;
+import io.cardamomshelf.client.StrictYaml;
 import io.cardamomshelf.core.base.Checks;
 import io.cardamomshelf.core.base.DataCentreId;
-import io.cardamomshelf.platform.Endpoint;
-import io.cardamomshelf.platform.FileException;
-import io.cardamomshelf.platform.StrictYaml;
+import io.cardamomshelf.core.base.Endpoint;
 import java.nio.file.Path;
 
 /**
--- a/entry/src/test/java/io/cardamomshelf/entry/settings/SettingsTest.java
+++ b/entry/src/test/java/io/cardamomshelf/entry/settings/SettingsTest.java
@@ -5,9 +5,9 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import io.cardamomshelf.client.FileException;
+import io.cardamomshelf.client.StrictYaml;
 import io.cardamomshelf.core.event.EventType;
-import io.cardamomshelf.platform.FileException;
-import io.cardamomshelf.platform.StrictYaml;
 import java.io.IOException;
 import java.lang.reflect.RecordComponent;
 import java.nio.file.Files;
--- a/sessions/src/main/java/io/cardamomshelf/sessions/Deployment.java
+++ b/sessions/src/main/java/io/cardamomshelf/sessions/Deployment.java
@@ -1,10 +1,10 @@
 package io.cardamomshelf.sessions;
 
 import io.cardamomshelf.cli.CliMain;
+import io.cardamomshelf.client.Json;
 import io.cardamomshelf.core.base.DataCentreId;
 import io.cardamomshelf.core.membership.Instance;
 import io.cardamomshelf.entry.EntryMain;
-import io.cardamomshelf.platform.Json;
 import io.cardamomshelf.standin.StandinMain;
 import java.io.IOException;
 import java.nio.file.Files;
--- a/sessions/src/test/java/io/cardamomshelf/sessions/ArchitectureTest.java
+++ b/sessions/src/test/java/io/cardamomshelf/sessions/ArchitectureTest.java
@@ -18,7 +18,7 @@
 
     private static final String ROOT = "io.cardamomshelf.";
     private static final List<String> MODULES =
-            List.of("core", "wire", "platform", "entry", "cli", "standin", "sessions");
+            List.of("core", "wire", "client", "entry", "cli", "standin", "sessions");
     private static final JavaClasses CLASSES =
             new ClassFileImporter()
                     .withImportOption(new ImportOption.DoNotIncludeTests())
@@ -72,10 +72,10 @@
     @CsvSource({
         "core, ''",
         "wire, core",
-        "platform, core",
-        "entry, core wire platform",
-        "cli, core platform",
-        "standin, core platform"
+        "client, core",
+        "entry, core wire client",
+        "cli, core client",
+        "standin, core client"
     })
     void moduleUsesOnlyItsLayers(String module, String layers) {
         List<String> allowed = List.of(layers.split(" "));
--- a/sessions/src/test/java/io/cardamomshelf/sessions/Local.java
+++ b/sessions/src/test/java/io/cardamomshelf/sessions/Local.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
+import io.cardamomshelf.client.ConfigJson;
 import io.cardamomshelf.core.base.DataCentreId;
 import io.cardamomshelf.core.base.OrganisationId;
 import io.cardamomshelf.core.base.WorkerId;
@@ -18,7 +19,6 @@
 import io.cardamomshelf.entry.settings.Limits;
 import io.cardamomshelf.entry.settings.Settings;
 import io.cardamomshelf.entry.settings.Shutdown;
-import io.cardamomshelf.platform.ConfigJson;
 import io.cardamomshelf.standin.ListStandin;
 import io.cardamomshelf.standin.LogStandin;
 import io.cardamomshelf.standin.WorkerStandin;
--- a/standin/src/main/java/io/cardamomshelf/standin/HttpStandin.java
+++ b/standin/src/main/java/io/cardamomshelf/standin/HttpStandin.java
@@ -1,7 +1,7 @@
 package io.cardamomshelf.standin;
 
-import io.cardamomshelf.platform.FormatException;
-import io.cardamomshelf.platform.Json;
+import io.cardamomshelf.client.FormatException;
+import io.cardamomshelf.client.Json;
 import io.smallrye.mutiny.Uni;
 import io.vertx.mutiny.core.Vertx;
 import io.vertx.mutiny.core.http.HttpServer;
--- a/standin/src/main/java/io/cardamomshelf/standin/LeaseBook.java
+++ b/standin/src/main/java/io/cardamomshelf/standin/LeaseBook.java
@@ -1,10 +1,10 @@
 package io.cardamomshelf.standin;
 
+import io.cardamomshelf.client.WorkerCommand;
 import io.cardamomshelf.core.base.JobId;
 import io.cardamomshelf.core.lease.GangNote;
 import io.cardamomshelf.core.lease.Lease;
 import io.cardamomshelf.core.lease.LeaseState;
-import io.cardamomshelf.platform.WorkerCommand;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
--- a/standin/src/main/java/io/cardamomshelf/standin/LogStandin.java
+++ b/standin/src/main/java/io/cardamomshelf/standin/LogStandin.java
@@ -1,7 +1,7 @@
 package io.cardamomshelf.standin;
 
+import io.cardamomshelf.client.LogPage;
 import io.cardamomshelf.core.base.Checks;
-import io.cardamomshelf.platform.LogPage;
 import io.vertx.mutiny.core.Vertx;
 import io.vertx.mutiny.ext.web.Router;
 import io.vertx.mutiny.ext.web.RoutingContext;
--- a/standin/src/main/java/io/cardamomshelf/standin/TaskScript.java
+++ b/standin/src/main/java/io/cardamomshelf/standin/TaskScript.java
@@ -1,8 +1,8 @@
 package io.cardamomshelf.standin;
 
 import com.fasterxml.jackson.annotation.JsonIgnoreProperties;
-import io.cardamomshelf.platform.FormatException;
-import io.cardamomshelf.platform.Json;
+import io.cardamomshelf.client.FormatException;
+import io.cardamomshelf.client.Json;
 
 /**
  * What a stand-in worker makes of a task's payload: how long it runs.
--- a/standin/src/main/java/io/cardamomshelf/standin/WorkerStandin.java
+++ b/standin/src/main/java/io/cardamomshelf/standin/WorkerStandin.java
@@ -1,11 +1,11 @@
 package io.cardamomshelf.standin;
 
+import io.cardamomshelf.client.Digest;
+import io.cardamomshelf.client.UpstreamClient;
+import io.cardamomshelf.client.WorkerCommand;
 import io.cardamomshelf.core.base.JobId;
 import io.cardamomshelf.core.fleet.Worker;
 import io.cardamomshelf.core.lease.WorkerReport;
-import io.cardamomshelf.platform.Digest;
-import io.cardamomshelf.platform.UpstreamClient;
-import io.cardamomshelf.platform.WorkerCommand;
 import io.vertx.core.http.HttpServerResponse;
 import io.vertx.mutiny.core.Vertx;
 import io.vertx.mutiny.ext.web.Router;
--- a/standin/src/test/java/io/cardamomshelf/standin/LeaseBookTest.java
+++ b/standin/src/test/java/io/cardamomshelf/standin/LeaseBookTest.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import io.cardamomshelf.client.WorkerCommand;
 import io.cardamomshelf.core.base.DataCentreId;
 import io.cardamomshelf.core.base.JobId;
 import io.cardamomshelf.core.base.OrganisationId;
@@ -14,7 +15,6 @@
 import io.cardamomshelf.core.job.JobSpec;
 import io.cardamomshelf.core.lease.GangNote;
 import io.cardamomshelf.core.lease.LeaseState;
-import io.cardamomshelf.platform.WorkerCommand;
 import java.util.List;
 import java.util.Optional;
 import org.junit.jupiter.api.BeforeEach;
