--- /dev/null
+++ b/core/src/main/java/io/cardamomshelf/core/schedule/Board.java
@@ -0,0 +1,335 @@
+package io.cardamomshelf.core.schedule;
+
+import io.cardamomshelf.core.base.DataCentreId;
+import io.cardamomshelf.core.base.JobId;
+import io.cardamomshelf.core.base.OrganisationId;
+import io.cardamomshelf.core.base.WorkerId;
+import io.cardamomshelf.core.task.JobProgress;
+import io.cardamomshelf.core.task.QueuePolicy;
+import io.cardamomshelf.core.task.TaskJob;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+/**
+ * All that the elected scheduler knows: jobs, workers and runs; and what it decides of them.
+ *
+ * <p>Use: feed it what was stored, listed and answered, then carry out the orders of {@code
+ * decide(now)} and give their outcomes back. {@code takeChanged()} returns what has to be stored
+ * before the workers may forget the ends that led to it.
+ *
+ * <p>Limits: a run's room counts as taken from its order until its end is listed, or until it is
+ * certain that it doesn't exist. Not thread-safe: belongs to the instance's event loop.
+ */
+public final class Board {
+
+    /** How a start ended, as far as the answer tells. */
+    public enum StartOutcome {
+        /** The worker has the run. */
+        STARTED,
+        /** The worker has refused it and never runs it. */
+        REFUSED,
+        /** There was no answer; the worker may have it, or may still get it. */
+        UNKNOWN
+    }
+
+    private final JobBook jobs = new JobBook();
+    private final WorkerBook workers = new WorkerBook(jobs);
+    private Map<OrganisationId, Integer> guarantees = Map.of();
+    private Set<DataCentreId> closed = Set.of();
+    private long lastRun;
+    private boolean inheriting = true;
+
+    /**
+     * Creates an empty board.
+     *
+     * @param firstRun a number above those of all earlier runs
+     */
+    public Board(long firstRun) {
+        this.lastRun = firstRun;
+    }
+
+    /** Ends the loading of what an earlier scheduler left; jobs and workers are new from here. */
+    public void endInheritance() {
+        inheriting = false;
+    }
+
+    /**
+     * Sets what the configuration says.
+     *
+     * @param newQueues the policies by queue, not null
+     * @param newGuarantees the accelerators by organisation, not null
+     */
+    public void configure(
+            Map<String, QueuePolicy> newQueues, Map<OrganisationId, Integer> newGuarantees) {
+        jobs.configure(newQueues);
+        guarantees = Map.copyOf(newGuarantees);
+    }
+
+    /**
+     * Sets the data centres that are taken out.
+     *
+     * @param dataCentres where nothing may start, not null
+     */
+    public void close(Set<DataCentreId> dataCentres) {
+        closed = Set.copyOf(dataCentres);
+    }
+
+    /**
+     * Adds an accepted job, once.
+     *
+     * @param job the job, not null
+     * @param progress how far it has come, not null
+     */
+    public void putJob(TaskJob job, JobProgress progress) {
+        jobs.put(job, progress, inheriting);
+    }
+
+    /**
+     * Cancels a job that isn't over.
+     *
+     * @param id the job, not null
+     * @return true if it was live and is cancelled now
+     */
+    public boolean cancel(JobId id) {
+        return jobs.cancel(id);
+    }
+
+    /**
+     * Forgets a job that is over, once nothing of it runs.
+     *
+     * @param id the job, not null
+     */
+    public void forget(JobId id) {
+        jobs.forget(id);
+    }
+
+    /**
+     * Takes a worker's entry in the registry.
+     *
+     * @param info the entry, not null
+     */
+    public void putWorker(WorkerInfo info) {
+        workers.put(info, inheriting);
+    }
+
+    /**
+     * Notes that a worker has left the registry; its runs stay until they are known to be over.
+     *
+     * @param id the worker, not null
+     */
+    public void removeWorker(WorkerId id) {
+        workers.remove(id);
+    }
+
+    /**
+     * Notes that nothing of a worker's runs can be left.
+     *
+     * @param id the worker, not null
+     */
+    public void loseWorker(WorkerId id) {
+        workers.lose(id);
+    }
+
+    /**
+     * Notes whether a worker answers.
+     *
+     * @param id the worker, not null
+     * @param silent true if its calls get no answer
+     */
+    public void markSilent(WorkerId id, boolean silent) {
+        workers.find(id).ifPresent(worker -> worker.silent = silent);
+    }
+
+    /**
+     * Takes the lists of a worker.
+     *
+     * @param id the worker, not null
+     * @param lists what it listed, not null
+     * @param askedMillis when the call for them was sent, on the steady clock
+     * @param whole whether no end was left out
+     * @param now the time, not null
+     */
+    public void report(
+            WorkerId id, WorkerLists lists, long askedMillis, boolean whole, Moment now) {
+        workers.find(id).ifPresent(w -> workers.report(w, lists, askedMillis, whole, now));
+    }
+
+    /**
+     * Takes the outcome of a start.
+     *
+     * @param start the order, not null
+     * @param outcome what the answer tells, not null
+     * @param now the time, not null
+     */
+    public void started(Order.Start start, StartOutcome outcome, Moment now) {
+        Optional<Run> found = workers.find(start);
+        if (found.isEmpty()) {
+            return;
+        }
+        Run run = found.get();
+        switch (outcome) {
+            case STARTED -> workers.settle(run, now);
+            case REFUSED -> {
+                workers.remove(run);
+                run.worker.plusRefusal(now.steadyMillis());
+            }
+            default -> run.abort = true;
+        }
+    }
+
+    /**
+     * Takes the answer to a stop.
+     *
+     * @param stop the order, not null
+     * @param now the time, not null
+     */
+    public void stopped(Order.Stop stop, Moment now) {
+        workers.find(stop)
+                .ifPresent(
+                        run -> {
+                            run.phase = Run.Phase.STOPPED;
+                            run.settledMillis = now.steadyMillis();
+                        });
+    }
+
+    /**
+     * Decides what to start and what to stop.
+     *
+     * @param now the time, not null
+     * @return the orders, never null; they are on the board already
+     */
+    public List<Order> decide(Moment now) {
+        jobs.updateStates();
+        List<Order> orders = new ArrayList<>(workers.strays().takeOrders());
+        for (LiveJob job : jobs.all()) {
+            for (TaskGroup group : job.groups()) {
+                stopUnwanted(group, now, orders);
+            }
+        }
+        orders.addAll(new Round(this, now).decide(jobs.all()));
+        return orders;
+    }
+
+    /**
+     * Returns the progress that has changed since the last call.
+     *
+     * @return what to store by job, never null
+     */
+    public Map<JobId, JobProgress> takeChanged() {
+        return jobs.takeChanged();
+    }
+
+    /**
+     * Asks whether a worker may have something to tell.
+     *
+     * @param id the worker, not null
+     * @return true if it has runs here, or its lists haven't been read
+     */
+    public boolean isWatched(WorkerId id) {
+        return workers.find(id)
+                .map(state -> !state.isIdle() || !state.reported || workers.strays().isAt(id))
+                .orElse(false);
+    }
+
+    /**
+     * Asks whether a worker has runs, or may have some that weren't listed yet.
+     *
+     * @param id the worker, not null
+     * @return true if a loss of it matters
+     */
+    public boolean isOccupied(WorkerId id) {
+        return workers.unseen().contains(id)
+                || workers.find(id).map(state -> !state.isIdle()).orElse(false);
+    }
+
+    /**
+     * Returns the number of the last end that was taken of a worker.
+     *
+     * @param id the worker, not null
+     * @return the number, 0 if there is none
+     */
+    public long lastEnd(WorkerId id) {
+        return workers.find(id).map(WorkerState::lastEnd).orElse(0L);
+    }
+
+    /**
+     * Returns the workers whose runs aren't known yet after a change of scheduler.
+     *
+     * @return their identifiers, never null
+     */
+    public Set<WorkerId> unseen() {
+        return Set.copyOf(workers.unseen());
+    }
+
+    /**
+     * Counts the runs that are ordered, running or being stopped.
+     *
+     * @return the number, 0 or more
+     */
+    public int runs() {
+        return workers.all().stream().mapToInt(worker -> worker.runs().size()).sum();
+    }
+
+    Collection<WorkerState> workers() {
+        return workers.all();
+    }
+
+    Set<DataCentreId> closed() {
+        return closed;
+    }
+
+    QueuePolicy policy(LiveJob job) {
+        return jobs.policy(job);
+    }
+
+    int guarantee(OrganisationId organisation) {
+        return guarantees.getOrDefault(organisation, 0);
+    }
+
+    long nextRun() {
+        return ++lastRun;
+    }
+
+    /** An inherited job may run on a worker that hasn't told yet. */
+    boolean isUncertain(LiveJob job) {
+        return job.isInherited() && !workers.unseen().isEmpty();
+    }
+
+    Order.Start start(TaskGroup group, int index, WorkerState worker, long number, Moment now) {
+        Run run = new Run(group.task(index), number, worker, group, now.steadyMillis());
+        group.plus(run);
+        worker.plus(run);
+        String spec = group.owner().job().request().spec();
+        return new Order.Start(worker.id(), run.task, number, spec, group.checkpoint(index), "");
+    }
+
+    Optional<Order> stop(Run run, Order.StopReason reason, Moment now) {
+        if (run.isLeaving()) {
+            return Optional.empty();
+        }
+        run.phase = Run.Phase.STOPPING;
+        return Optional.of(new Order.Stop(run.worker.id(), run.task, run.number, reason));
+    }
+
+    private void stopUnwanted(TaskGroup group, Moment now, List<Order> orders) {
+        boolean over = group.owner().isEnded();
+        boolean broken = group.isBroken();
+        for (Run run : group.runs()) {
+            if (over || broken || run.abort) {
+                stop(run, reason(group), now).ifPresent(orders::add);
+            }
+        }
+    }
+
+    private static Order.StopReason reason(TaskGroup group) {
+        return switch (group.owner().state()) {
+            case CANCELLED -> Order.StopReason.CANCELLED;
+            case FAILED -> Order.StopReason.JOB_FAILED;
+            default -> Order.StopReason.START_ABORTED;
+        };
+    }
+}
--- /dev/null
+++ b/core/src/main/java/io/cardamomshelf/core/schedule/ElectionTimer.java
@@ -0,0 +1,76 @@
+package io.cardamomshelf.core.schedule;
+
+/**
+ * Decides when a process stands for scheduler.
+ *
+ * <p>Use: {@code heard} at each sign of the scheduler, {@code proven} at each read that reached the
+ * end of the stored records, then {@code mayStand}.
+ *
+ * <p>Load it answers: a scheduler that died must be replaced within seconds, but one whose signs
+ * were only missed because the store was away must be let be. So silence counts only while this
+ * process's own path to the store works.
+ *
+ * <p>Not thread-safe: belongs to the instance's event loop.
+ */
+public final class ElectionTimer {
+
+    /** A path without proof for longer than this says nothing of others, in milliseconds. */
+    private static final long MAX_GAP_MILLIS = 1_600;
+
+    private static final long NEVER = Long.MIN_VALUE / 2;
+
+    private final long silenceMillis;
+    private long heardMillis = NEVER;
+    private long provenMillis = NEVER;
+    private boolean vacant;
+
+    /**
+     * Creates a timer.
+     *
+     * @param silenceMillis how long the scheduler must be silent, in milliseconds; unequal among
+     *     processes, so that they don't all stand at once
+     */
+    public ElectionTimer(long silenceMillis) {
+        this.silenceMillis = silenceMillis;
+    }
+
+    /**
+     * Notes a sign of the scheduler.
+     *
+     * @param nowMillis the steady clock, in milliseconds
+     */
+    public void heard(long nowMillis) {
+        heardMillis = nowMillis;
+        vacant = false;
+    }
+
+    /** Notes that the scheduler has resigned, so that nobody need wait. */
+    public void resigned() {
+        vacant = true;
+    }
+
+    /**
+     * Notes that all stored records have been read.
+     *
+     * @param nowMillis the steady clock, in milliseconds
+     */
+    public void proven(long nowMillis) {
+        if (nowMillis - provenMillis > MAX_GAP_MILLIS) {
+            heardMillis = Math.max(heardMillis, nowMillis);
+        }
+        provenMillis = nowMillis;
+    }
+
+    /**
+     * Asks whether to stand now.
+     *
+     * @param nowMillis the steady clock, in milliseconds
+     * @return true if there is no scheduler, as far as a working path tells
+     */
+    public boolean mayStand(long nowMillis) {
+        if (nowMillis - provenMillis > MAX_GAP_MILLIS) {
+            return false;
+        }
+        return vacant || nowMillis - heardMillis >= silenceMillis;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/io/cardamomshelf/core/schedule/JobBook.java
@@ -0,0 +1,91 @@
+package io.cardamomshelf.core.schedule;
+
+import io.cardamomshelf.core.base.JobId;
+import io.cardamomshelf.core.task.JobProgress;
+import io.cardamomshelf.core.task.JobState;
+import io.cardamomshelf.core.task.QueuePolicy;
+import io.cardamomshelf.core.task.TaskJob;
+import java.util.Collection;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+/** The accepted jobs, and which of them have progress that isn't stored yet. */
+final class JobBook {
+
+    private final Map<JobId, LiveJob> jobs = new LinkedHashMap<>();
+    private final Set<JobId> changed = new LinkedHashSet<>();
+    private Map<String, QueuePolicy> queues = Map.of();
+
+    void configure(Map<String, QueuePolicy> newQueues) {
+        queues = Map.copyOf(newQueues);
+    }
+
+    void put(TaskJob job, JobProgress progress, boolean inherited) {
+        jobs.computeIfAbsent(job.id(), id -> new LiveJob(job, progress, inherited));
+    }
+
+    Optional<LiveJob> find(JobId id) {
+        return Optional.ofNullable(jobs.get(id));
+    }
+
+    Collection<LiveJob> all() {
+        return List.copyOf(jobs.values());
+    }
+
+    QueuePolicy policy(LiveJob job) {
+        return job.policy(queues);
+    }
+
+    boolean cancel(JobId id) {
+        LiveJob job = jobs.get(id);
+        if (job == null || job.isEnded()) {
+            return false;
+        }
+        end(job, JobState.CANCELLED);
+        return true;
+    }
+
+    /** Forgets a job that is over once nothing of it runs. */
+    void forget(JobId id) {
+        LiveJob job = jobs.get(id);
+        if (job != null && job.isEnded() && job.isIdle()) {
+            jobs.remove(id);
+        }
+    }
+
+    void markChanged(JobId id) {
+        changed.add(id);
+    }
+
+    /** Ends the jobs that are done or have failed. */
+    void updateStates() {
+        for (LiveJob job : jobs.values()) {
+            if (job.isEnded()) {
+                continue;
+            }
+            if (job.hasFailed(policy(job).maxAttempts())) {
+                end(job, JobState.FAILED);
+            } else if (job.isDone()) {
+                end(job, JobState.COMPLETED);
+            }
+        }
+    }
+
+    Map<JobId, JobProgress> takeChanged() {
+        Map<JobId, JobProgress> result = new LinkedHashMap<>();
+        for (JobId id : changed) {
+            find(id).ifPresent(job -> result.put(id, job.progress()));
+        }
+        changed.clear();
+        return result;
+    }
+
+    private void end(LiveJob job, JobState state) {
+        job.end(state);
+        changed.add(job.job().id());
+    }
+}
--- /dev/null
+++ b/core/src/main/java/io/cardamomshelf/core/schedule/LiveJob.java
@@ -0,0 +1,173 @@
+package io.cardamomshelf.core.schedule;
+
+import io.cardamomshelf.core.task.JobProgress;
+import io.cardamomshelf.core.task.JobState;
+import io.cardamomshelf.core.task.QueuePolicy;
+import io.cardamomshelf.core.task.StepProgress;
+import io.cardamomshelf.core.task.TaskId;
+import io.cardamomshelf.core.task.TaskJob;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+
+/** An accepted job as the scheduler works on it. */
+final class LiveJob {
+
+    private record GroupKey(int occurrence, int step) implements Comparable<GroupKey> {
+        @Override
+        public int compareTo(GroupKey other) {
+            int order = Integer.compare(occurrence, other.occurrence);
+            return order != 0 ? order : Integer.compare(step, other.step);
+        }
+    }
+
+    private final TaskJob job;
+    private final boolean inherited;
+    private final Map<GroupKey, TaskGroup> groups = new TreeMap<>();
+    private final Map<GroupKey, StepProgress> restored = new TreeMap<>();
+    private JobState state;
+
+    /** An inherited job may have runs that this scheduler doesn't know of yet. */
+    LiveJob(TaskJob job, JobProgress progress, boolean inherited) {
+        this.job = job;
+        this.state = progress.state();
+        this.inherited = inherited;
+        for (StepProgress step : progress.steps()) {
+            restored.put(new GroupKey(step.occurrence(), step.step()), step);
+        }
+    }
+
+    TaskJob job() {
+        return job;
+    }
+
+    boolean isInherited() {
+        return inherited;
+    }
+
+    JobState state() {
+        return state;
+    }
+
+    boolean isEnded() {
+        return state.isEnded();
+    }
+
+    /** The policy in force: the newest configuration's, or that of the acceptance. */
+    QueuePolicy policy(Map<String, QueuePolicy> queues) {
+        return queues.getOrDefault(job.queue().name(), job.queue());
+    }
+
+    void end(JobState ended) {
+        state = ended;
+    }
+
+    /** Notes that a task has started; returns whether it is the first. */
+    boolean begin() {
+        if (state != JobState.QUEUED) {
+            return false;
+        }
+        state = JobState.RUNNING;
+        return true;
+    }
+
+    /** The groups whose turn has come, made as they become due. */
+    List<TaskGroup> ready(long wallMillis) {
+        List<TaskGroup> ready = new ArrayList<>();
+        for (int occurrence = 0; occurrence < job.request().occurrences(); occurrence++) {
+            if (job.request().dueMillis(occurrence) > wallMillis) {
+                break;
+            }
+            for (int step = 0; step < job.request().steps().size(); step++) {
+                if (isUnlocked(occurrence, step)) {
+                    ready.add(groupAt(occurrence, step, wallMillis));
+                }
+            }
+        }
+        return ready;
+    }
+
+    Collection<TaskGroup> groups() {
+        return groups.values();
+    }
+
+    /** The group of a task, made if it is in the job at all. */
+    Optional<TaskGroup> group(TaskId task, long wallMillis) {
+        if (task.occurrence() >= job.request().occurrences()
+                || task.step() >= job.request().steps().size()
+                || task.index() >= job.request().steps().get(task.step()).count()) {
+            return Optional.empty();
+        }
+        return Optional.of(groupAt(task.occurrence(), task.step(), wallMillis));
+    }
+
+    boolean hasFailed(int maxAttempts) {
+        return groups.values().stream().anyMatch(group -> group.hasFailed(maxAttempts));
+    }
+
+    boolean isIdle() {
+        return groups.values().stream().allMatch(group -> group.runs().isEmpty());
+    }
+
+    boolean isDone() {
+        for (int occurrence = 0; occurrence < job.request().occurrences(); occurrence++) {
+            for (int step = 0; step < job.request().steps().size(); step++) {
+                if (!isStepDone(occurrence, step)) {
+                    return false;
+                }
+            }
+        }
+        return true;
+    }
+
+    JobProgress progress() {
+        Map<GroupKey, StepProgress> steps = new TreeMap<>(restored);
+        groups.forEach(
+                (key, group) -> {
+                    if (group.isTouched()) {
+                        steps.put(key, group.progress());
+                    }
+                });
+        return new JobProgress(state, List.copyOf(steps.values()));
+    }
+
+    /** The accelerators that its widest step takes at once. */
+    int accelerators() {
+        return job.request().steps().stream()
+                .mapToInt(step -> step.count() * step.demand().accelerators())
+                .max()
+                .orElse(0);
+    }
+
+    private boolean isUnlocked(int occurrence, int step) {
+        return job.request().steps().get(step).after().stream()
+                .allMatch(before -> isStepDone(occurrence, before));
+    }
+
+    private boolean isStepDone(int occurrence, int step) {
+        GroupKey key = new GroupKey(occurrence, step);
+        TaskGroup group = groups.get(key);
+        if (group != null) {
+            return group.isDone();
+        }
+        StepProgress progress = restored.get(key);
+        int count = job.request().steps().get(step).count();
+        return progress != null && progress.done().cardinality() == count;
+    }
+
+    private TaskGroup groupAt(int occurrence, int step, long wallMillis) {
+        return groups.computeIfAbsent(
+                new GroupKey(occurrence, step),
+                key -> {
+                    TaskGroup group = new TaskGroup(this, occurrence, step, wallMillis);
+                    StepProgress progress = restored.remove(key);
+                    if (progress != null) {
+                        group.restore(progress);
+                    }
+                    return group;
+                });
+    }
+}
--- /dev/null
+++ b/core/src/main/java/io/cardamomshelf/core/schedule/RoomBook.java
@@ -0,0 +1,49 @@
+package io.cardamomshelf.core.schedule;
+
+import io.cardamomshelf.core.base.DataCentreId;
+import io.cardamomshelf.core.base.WorkerId;
+import io.cardamomshelf.core.task.Resources;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+/** The room that a round may give away: what is free, less what the round holds for others. */
+final class RoomBook {
+
+    private final Collection<WorkerState> workers;
+    private final Set<DataCentreId> closed;
+    private final long nowMillis;
+    private final Map<WorkerId, Resources> held = new HashMap<>();
+
+    RoomBook(Collection<WorkerState> workers, Set<DataCentreId> closed, long nowMillis) {
+        this.workers = workers;
+        this.closed = closed;
+        this.nowMillis = nowMillis;
+    }
+
+    Resources free(WorkerState worker) {
+        return worker.free().minus(held.getOrDefault(worker.id(), Resources.NONE));
+    }
+
+    void hold(WorkerState worker, Resources amount) {
+        held.merge(worker.id(), amount, Resources::plus);
+    }
+
+    /** The workers that a group may use now. */
+    List<WorkerState> candidates(TaskGroup group, String service) {
+        return workers.stream()
+                .filter(worker -> isAllowed(worker, group, service))
+                .filter(worker -> worker.isOpen(nowMillis))
+                .toList();
+    }
+
+    private boolean isAllowed(WorkerState worker, TaskGroup group, String service) {
+        WorkerInfo info = worker.info();
+        String label = group.spec().label();
+        return info.service().equals(service)
+                && !closed.contains(info.dataCentre())
+                && (label.isEmpty() || info.labels().contains(label));
+    }
+}
--- /dev/null
+++ b/core/src/main/java/io/cardamomshelf/core/schedule/Run.java
@@ -0,0 +1,65 @@
+package io.cardamomshelf.core.schedule;
+
+import io.cardamomshelf.core.task.TaskId;
+
+/** One run of a task on a worker, from its order until its end is known. */
+final class Run {
+
+    /** Where the run stands. */
+    enum Phase {
+        /** Its start was ordered and isn't settled. */
+        ORDERED,
+        /** The worker has it. */
+        RUNNING,
+        /** Its stop was ordered and isn't answered. */
+        STOPPING,
+        /** Its stop was answered; its end is still to be listed. */
+        STOPPED
+    }
+
+    /** How many cores an accelerator counts as when lost work is compared. */
+    private static final long ACCELERATOR_CORES = 8;
+
+    private static final long UNKNOWN = Long.MIN_VALUE;
+
+    final TaskId task;
+    final long number;
+    final WorkerState worker;
+    final TaskGroup group;
+    final long orderedMillis;
+    Phase phase = Phase.ORDERED;
+
+    /** When the last order was answered; a list asked for later shows the run or it isn't there. */
+    long settledMillis = UNKNOWN;
+
+    /** True once its start got no answer, so that it is stopped rather than trusted. */
+    boolean abort;
+
+    int percent;
+
+    Run(TaskId task, long number, WorkerState worker, TaskGroup group, long nowMillis) {
+        this.task = task;
+        this.number = number;
+        this.worker = worker;
+        this.group = group;
+        this.orderedMillis = nowMillis;
+    }
+
+    boolean isSettledBefore(long millis) {
+        return settledMillis != UNKNOWN && settledMillis < millis;
+    }
+
+    boolean isLeaving() {
+        return phase == Phase.STOPPING || phase == Phase.STOPPED;
+    }
+
+    /** Work that a stop now throws away, in core-milliseconds; saved work isn't lost. */
+    long lostWork(long nowMillis) {
+        if (isLeaving() || group.spec().checkpointing()) {
+            return 0;
+        }
+        long cores = group.spec().demand().cpuMillis() / 1_000;
+        long weighted = cores + ACCELERATOR_CORES * group.spec().demand().accelerators();
+        return weighted * Math.max(0, nowMillis - orderedMillis);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/io/cardamomshelf/core/schedule/TaskGroup.java
@@ -0,0 +1,179 @@
+package io.cardamomshelf.core.schedule;
+
+import io.cardamomshelf.core.task.RunEnd;
+import io.cardamomshelf.core.task.StepProgress;
+import io.cardamomshelf.core.task.StepProgress.Failures;
+import io.cardamomshelf.core.task.StepSpec;
+import io.cardamomshelf.core.task.TaskId;
+import java.util.BitSet;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.stream.IntStream;
+
+/** The tasks of one step in one occurrence, with their current runs and what has ended. */
+final class TaskGroup {
+
+    /** A gang counts its failures and keeps its saved progress as one. */
+    private static final int WHOLE_GANG = 0;
+
+    private final LiveJob owner;
+    private final int occurrence;
+    private final int step;
+    private final StepSpec spec;
+    private final long readyMillis;
+    private final BitSet done = new BitSet();
+    private final Map<Integer, Failures> failures = new HashMap<>();
+    private final Map<Integer, String> checkpoints = new HashMap<>();
+    private final Map<Integer, Run> runs = new HashMap<>();
+
+    TaskGroup(LiveJob owner, int occurrence, int step, long readyMillis) {
+        this.owner = owner;
+        this.occurrence = occurrence;
+        this.step = step;
+        this.spec = owner.job().request().steps().get(step);
+        this.readyMillis = readyMillis;
+    }
+
+    LiveJob owner() {
+        return owner;
+    }
+
+    int occurrence() {
+        return occurrence;
+    }
+
+    int step() {
+        return step;
+    }
+
+    StepSpec spec() {
+        return spec;
+    }
+
+    /** When its tasks could first start, on the wall clock. */
+    long readyMillis() {
+        return readyMillis;
+    }
+
+    TaskId task(int index) {
+        return TaskId.of(owner.job().id(), occurrence, step, index);
+    }
+
+    boolean isDone() {
+        return done.cardinality() == spec.count();
+    }
+
+    boolean isDone(int index) {
+        return done.get(index);
+    }
+
+    /** The tasks to start; a gang waits until nothing of its last run is left. */
+    List<Integer> waiting() {
+        if (spec.gang() && !runs.isEmpty()) {
+            return List.of();
+        }
+        return IntStream.range(0, spec.count())
+                .filter(index -> !done.get(index) && !runs.containsKey(index))
+                .boxed()
+                .toList();
+    }
+
+    Collection<Run> runs() {
+        return List.copyOf(runs.values());
+    }
+
+    Optional<Run> run(int index) {
+        return Optional.ofNullable(runs.get(index));
+    }
+
+    boolean isRunBy(int index) {
+        return runs.containsKey(index);
+    }
+
+    /** Whether a run found on a worker can be a current one. */
+    boolean isAdoptable(int index, long number) {
+        if (index >= spec.count() || done.get(index) || runs.containsKey(index)) {
+            return false;
+        }
+        return !spec.gang() || runs.values().stream().allMatch(run -> run.number == number);
+    }
+
+    void plus(Run run) {
+        runs.put(run.task.index(), run);
+    }
+
+    void minus(Run run) {
+        runs.remove(run.task.index(), run);
+    }
+
+    /** A gang of which a member has gone or is leaving can't finish, and is stopped whole. */
+    boolean isBroken() {
+        if (!spec.gang() || runs.isEmpty() || isDone()) {
+            return false;
+        }
+        return runs.size() < spec.count() || runs.values().stream().anyMatch(Run::isLeaving);
+    }
+
+    String checkpoint(int index) {
+        return checkpoints.getOrDefault(slot(index), "");
+    }
+
+    void save(int index, String checkpoint) {
+        if (!checkpoint.isEmpty()) {
+            checkpoints.put(slot(index), checkpoint);
+        }
+    }
+
+    /** Counts how a run ended; returns whether that changes what is to be stored. */
+    boolean plusEnd(TaskId task, long run, RunEnd end) {
+        if (done.get(task.index())) {
+            return false;
+        }
+        if (end == RunEnd.DONE && !spec.longRunning()) {
+            markDone(task.index());
+            return true;
+        }
+        if (end != RunEnd.FAILED || spec.longRunning()) {
+            return false;
+        }
+        int slot = slot(task.index());
+        Failures before = failures.getOrDefault(slot, Failures.NONE);
+        Failures after = before.plus(run);
+        failures.put(slot, after);
+        return !after.equals(before);
+    }
+
+    boolean hasFailed(int maxAttempts) {
+        return failures.values().stream().anyMatch(count -> count.count() >= maxAttempts);
+    }
+
+    boolean isTouched() {
+        return !done.isEmpty() || !failures.isEmpty();
+    }
+
+    StepProgress progress() {
+        return new StepProgress(occurrence, step, done, failures, checkpoints);
+    }
+
+    void restore(StepProgress progress) {
+        done.or(progress.done());
+        failures.putAll(progress.failures());
+        checkpoints.putAll(progress.checkpoints());
+    }
+
+    private void markDone(int index) {
+        if (spec.gang()) {
+            done.set(0, spec.count());
+        } else {
+            done.set(index);
+            checkpoints.remove(index);
+        }
+    }
+
+    private int slot(int index) {
+        return spec.gang() ? WHOLE_GANG : index;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/io/cardamomshelf/core/schedule/WorkerInfo.java
@@ -0,0 +1,54 @@
+package io.cardamomshelf.core.schedule;
+
+import io.cardamomshelf.core.base.Checks;
+import io.cardamomshelf.core.base.DataCentreId;
+import io.cardamomshelf.core.base.Endpoint;
+import io.cardamomshelf.core.base.WorkerId;
+import io.cardamomshelf.core.task.Resources;
+import java.util.List;
+
+/**
+ * What a worker says of itself in the registry.
+ *
+ * <p>Use: {@code board.putWorker(info)} at each entry read.
+ *
+ * <p>Immutable and thread-safe.
+ *
+ * @param id the worker, not null
+ * @param bornMillis when this incarnation started, in milliseconds since 1970
+ * @param service the pool it belongs to, not null
+ * @param endpoint where it takes orders, not null
+ * @param dataCentre where it stands, not null
+ * @param rack its rack, empty if unknown
+ * @param labels its labels, not null
+ * @param capacity what it has for tasks, not null
+ * @param draining whether it is leaving and must get nothing new
+ * @param clockMillis its own clock when it wrote the entry, in milliseconds, 0 if unknown
+ */
+public record WorkerInfo(
+        WorkerId id,
+        long bornMillis,
+        String service,
+        Endpoint endpoint,
+        DataCentreId dataCentre,
+        String rack,
+        List<String> labels,
+        Resources capacity,
+        boolean draining,
+        long clockMillis) {
+
+    /**
+     * Creates an entry.
+     *
+     * @throws IllegalArgumentException if a value is missing
+     */
+    public WorkerInfo {
+        Checks.notNull("id", id);
+        Checks.notNull("service", service);
+        Checks.notNull("endpoint", endpoint);
+        Checks.notNull("dataCentre", dataCentre);
+        Checks.notNull("rack", rack);
+        Checks.notNull("capacity", capacity);
+        labels = List.copyOf(labels);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/io/cardamomshelf/core/schedule/WorkerLists.java
@@ -0,0 +1,46 @@
+package io.cardamomshelf.core.schedule;
+
+import io.cardamomshelf.core.task.RunEnd;
+import io.cardamomshelf.core.task.TaskId;
+import java.util.List;
+
+/**
+ * What a worker listed of its runs.
+ *
+ * <p>Use: {@code board.report(worker, lists, sentMillis, now)}.
+ *
+ * <p>Immutable and thread-safe.
+ *
+ * @param bornMillis the incarnation that answered, in milliseconds since 1970
+ * @param running the runs at work, not null
+ * @param ended the ends not yet acknowledged, in their order, not null
+ */
+public record WorkerLists(long bornMillis, List<Running> running, List<Ended> ended) {
+
+    /**
+     * A run at work.
+     *
+     * @param task the task, not null
+     * @param run the run's number
+     * @param checkpoint its newest saved progress, empty for none
+     * @param percent how far it is, or 100 for a serving task at work
+     */
+    public record Running(TaskId task, long run, String checkpoint, int percent) {}
+
+    /**
+     * A run that ended.
+     *
+     * @param number the end's number in the worker's incarnation, from 1
+     * @param task the task, not null
+     * @param run the run's number
+     * @param end how it ended, not null
+     * @param checkpoint its newest saved progress, empty for none
+     */
+    public record Ended(long number, TaskId task, long run, RunEnd end, String checkpoint) {}
+
+    /** Creates lists. */
+    public WorkerLists {
+        running = List.copyOf(running);
+        ended = List.copyOf(ended);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/io/cardamomshelf/core/task/TaskId.java
@@ -0,0 +1,49 @@
+package io.cardamomshelf.core.task;
+
+import io.cardamomshelf.core.base.Checks;
+import io.cardamomshelf.core.base.JobId;
+
+/**
+ * Names one task of a job.
+ *
+ * <p>Use: {@code TaskId.of(job, 0, 1, 17)}.
+ *
+ * <p>Immutable and thread-safe.
+ *
+ * @param job the job, not null
+ * @param occurrence the repetition from 0; 0 for a job that runs once
+ * @param step the step from 0
+ * @param index the task's position in its step, from 0
+ */
+public record TaskId(JobId job, int occurrence, int step, int index) {
+
+    /**
+     * Creates an identifier.
+     *
+     * @throws IllegalArgumentException if the job is missing or a number is negative
+     */
+    public TaskId {
+        Checks.notNull("job", job);
+        Checks.range("occurrence", occurrence, 0, Integer.MAX_VALUE);
+        Checks.range("step", step, 0, Integer.MAX_VALUE);
+        Checks.range("index", index, 0, Integer.MAX_VALUE);
+    }
+
+    /**
+     * Makes an identifier.
+     *
+     * @param job the job, not null
+     * @param occurrence the repetition from 0
+     * @param step the step from 0
+     * @param index the task's position from 0
+     * @return the identifier, never null
+     */
+    public static TaskId of(JobId job, int occurrence, int step, int index) {
+        return new TaskId(job, occurrence, step, index);
+    }
+
+    @Override
+    public String toString() {
+        return job + "." + occurrence + "." + step + "." + index;
+    }
+}
--- /dev/null
+++ b/node/src/main/java/io/cardamomshelf/node/Node.java
@@ -0,0 +1,220 @@
+package io.cardamomshelf.node;
+
+import io.cardamomshelf.node.event.EventLog;
+import io.cardamomshelf.node.event.NodeEvent;
+import io.cardamomshelf.node.ingress.CallersServer;
+import io.cardamomshelf.node.ingress.StatusServer;
+import io.cardamomshelf.node.port.CallersProtocol;
+import io.cardamomshelf.node.port.KeyedStore;
+import io.cardamomshelf.node.port.KeyedStore.Stream;
+import io.cardamomshelf.node.port.RecordDecoder;
+import io.cardamomshelf.node.port.WorkerOrders;
+import io.cardamomshelf.node.schedule.Scheduling;
+import io.cardamomshelf.node.settings.NodeSettings;
+import io.cardamomshelf.node.store.JobsView;
+import io.cardamomshelf.node.store.OperatorsView;
+import io.cardamomshelf.node.store.StreamFollower;
+import io.cardamomshelf.node.store.StreamFollower.Pace;
+import io.cardamomshelf.node.store.WorkersView;
+import io.smallrye.mutiny.Uni;
+import io.vertx.mutiny.core.Vertx;
+
+/**
+ * The service on one machine: callers' ingress, followers of the store, and scheduler in waiting.
+ *
+ * <p>Use: {@code new Node(vertx, adapter, settings, Clock.system()).start()}; {@code stop()} hands
+ * leadership on and lets calls finish.
+ *
+ * <p>Not thread-safe: {@code start} and {@code stop} are called once each.
+ */
+public final class Node {
+
+    /**
+     * The platform that the node runs on.
+     *
+     * @param store its store, not null
+     * @param decoder reads its own records, not null
+     * @param orders calls to workers, not null
+     * @param callers the callers' names and formats, not null
+     */
+    public record Adapter(
+            KeyedStore store,
+            RecordDecoder decoder,
+            WorkerOrders orders,
+            CallersProtocol callers) {}
+
+    /** Changes of operators are rare, and their proof must be young. */
+    private static final Pace OPERATORS_PACE = new Pace(1_000, 0);
+
+    /** Every worker renews its entry, so a pause collects many records into a call. */
+    private static final Pace WORKERS_PACE = new Pace(1_000, 500);
+
+    /** Records of jobs are frequent; a short pause halves the calls and callers don't notice. */
+    private static final Pace JOBS_PACE = new Pace(1_000, 80);
+
+    /** The scheduler hears of a new job at once. */
+    private static final Pace JOBS_PACE_LEADING = new Pace(1_000, 0);
+
+    private static final long PACE_CHECK_MILLIS = 200;
+
+    /** How long balancers may go on to send new connections, in milliseconds. */
+    private static final long LEAVE_MILLIS = 2_500;
+
+    /** How long before the grace ends the process ends by itself, in milliseconds. */
+    private static final long END_MARGIN_MILLIS = 700;
+
+    private static final long DRAIN_CHECK_MILLIS = 50;
+
+    private final Vertx vertx;
+    private final NodeSettings settings;
+    private final Clock clock;
+    private final OperatorsView operators;
+    private final StreamFollower operatorsFollower;
+    private final StreamFollower workersFollower;
+    private final StreamFollower jobsFollower;
+    private final Scheduling scheduling;
+    private final CallersServer callers;
+    private final StatusServer status;
+    private JobsView jobs;
+    private WorkersView workers;
+
+    /**
+     * Creates a node.
+     *
+     * @param vertx the event loop's owner, not null
+     * @param adapter the platform, not null
+     * @param settings the machine's settings, not null
+     * @param clock the time, not null
+     */
+    public Node(Vertx vertx, Adapter adapter, NodeSettings settings, Clock clock) {
+        this.vertx = vertx;
+        this.settings = settings;
+        this.clock = clock;
+        this.operators = new OperatorsView(adapter.decoder(), this::configured);
+        this.scheduling =
+                new Scheduling(
+                        vertx,
+                        adapter.store(),
+                        adapter.orders(),
+                        new Views(adapter.decoder()),
+                        clock,
+                        settings,
+                        this::jobsPosition);
+        this.operatorsFollower = follower(adapter, Stream.OPERATORS, operators, OPERATORS_PACE);
+        this.workersFollower = follower(adapter, Stream.WORKERS, workers, WORKERS_PACE);
+        this.jobsFollower = follower(adapter, Stream.JOBS, jobs, JOBS_PACE);
+        this.callers =
+                new CallersServer(
+                        vertx,
+                        adapter.callers(),
+                        adapter.store(),
+                        operators,
+                        jobs,
+                        clock,
+                        settings.bounds(),
+                        operatorsFollower::proofAgeMillis,
+                        jobsFollower::proofAgeMillis);
+        this.status = new StatusServer(vertx, callers::isReady);
+    }
+
+    /**
+     * Starts to follow the store and to listen.
+     *
+     * @return completes once it listens
+     */
+    public Uni<Void> start() {
+        return callers.listen(settings.callers())
+                .chain(port -> status.listen(settings.readiness()))
+                .invoke(port -> vertx.runOnContext(this::follow))
+                .replaceWithVoid();
+    }
+
+    /**
+     * Stops gracefully: no new connections, leadership handed on, calls finished.
+     *
+     * @return completes when the process may end
+     */
+    public Uni<Void> stop() {
+        long startMillis = clock.steadyMillis();
+        EventLog.of(NodeEvent.SERVICE_STOPPING).with("inFlight", callers.inFlight()).write();
+        return Uni.createFrom()
+                .<Void>emitter(
+                        emitter ->
+                                vertx.runOnContext(
+                                        () -> {
+                                            callers.drain();
+                                            scheduling.resign().subscribe().with(done -> {});
+                                            drained(startMillis, () -> emitter.complete(null));
+                                        }))
+                .invoke(
+                        () ->
+                                EventLog.of(NodeEvent.SERVICE_STOPPED)
+                                        .with("inFlight", callers.inFlight())
+                                        .write());
+    }
+
+    private void follow() {
+        EventLog.of(NodeEvent.SERVICE_STARTED)
+                .with("machine", settings.name())
+                .with("dataCentre", settings.dataCentre())
+                .with("callers", settings.callers())
+                .write();
+        operatorsFollower.start();
+        workersFollower.start();
+        jobsFollower.start();
+        scheduling.start();
+        vertx.setPeriodic(
+                PACE_CHECK_MILLIS,
+                id -> jobsFollower.setPace(scheduling.isLeading() ? JOBS_PACE_LEADING : JOBS_PACE));
+    }
+
+    private void drained(long startMillis, Runnable done) {
+        long passed = clock.steadyMillis() - startMillis;
+        boolean idle = passed >= LEAVE_MILLIS && callers.inFlight() == 0;
+        if (idle || passed >= settings.bounds().graceMillis() - END_MARGIN_MILLIS) {
+            done.run();
+        } else {
+            vertx.setTimer(DRAIN_CHECK_MILLIS, id -> drained(startMillis, done));
+        }
+    }
+
+    private void configured() {
+        scheduling.configured();
+    }
+
+    private long jobsPosition() {
+        return jobsFollower.position();
+    }
+
+    private StreamFollower follower(
+            Adapter adapter, Stream stream, StreamFollower.Fold fold, Pace pace) {
+        return new StreamFollower(vertx, adapter.store(), stream, fold, clock, pace);
+    }
+
+    /** Makes the views that the scheduler listens to. */
+    private final class Views implements Scheduling.Views {
+
+        private final RecordDecoder decoder;
+
+        Views(RecordDecoder decoder) {
+            this.decoder = decoder;
+        }
+
+        @Override
+        public JobsView jobs(JobsView.Listener listener) {
+            jobs = new JobsView(listener);
+            return jobs;
+        }
+
+        @Override
+        public WorkersView workers(WorkersView.Listener listener) {
+            workers = new WorkersView(decoder, listener, clock::steadyMillis);
+            return workers;
+        }
+
+        @Override
+        public OperatorsView operators() {
+            return operators;
+        }
+    }
+}
--- /dev/null
+++ b/node/src/main/java/io/cardamomshelf/node/event/EventLog.java
@@ -0,0 +1,53 @@
+package io.cardamomshelf.node.event;
+
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import org.slf4j.spi.LoggingEventBuilder;
+
+/**
+ * Writes one line for an event, with its number, name and fields.
+ *
+ * <p>Use: {@code EventLog.of(NodeEvent.RUN_ENDED).with("task", task).with("end", end).write()}.
+ *
+ * <p>Limits: never blocks; lines are dropped and counted when the output doesn't keep up. One
+ * object serves one line and isn't thread-safe.
+ */
+public final class EventLog {
+
+    private static final Logger LOGGER = LoggerFactory.getLogger("cardamomshelf");
+
+    private final NodeEvent event;
+    private LoggingEventBuilder line;
+
+    private EventLog(NodeEvent event) {
+        this.event = event;
+        this.line = LOGGER.atInfo();
+    }
+
+    /**
+     * Begins a line.
+     *
+     * @param event what happened, not null
+     * @return the line, never null
+     */
+    public static EventLog of(NodeEvent event) {
+        return new EventLog(event);
+    }
+
+    /**
+     * Adds a field.
+     *
+     * @param name its name, not null
+     * @param value its value; null is written as such
+     * @return this line
+     */
+    public EventLog with(String name, Object value) {
+        line = line.addKeyValue(name, value instanceof Number ? value : String.valueOf(value));
+        return this;
+    }
+
+    /** Writes the line. */
+    public void write() {
+        line.addKeyValue("event", event.number()).log(event.name());
+    }
+}
--- /dev/null
+++ b/node/src/main/java/io/cardamomshelf/node/event/package-info.java
@@ -0,0 +1,2 @@
+/** The numbered events of the logs. */
+package io.cardamomshelf.node.event;
--- /dev/null
+++ b/node/src/main/java/io/cardamomshelf/node/ingress/CallerAppend.java
@@ -0,0 +1,93 @@
+package io.cardamomshelf.node.ingress;
+
+import io.cardamomshelf.node.Clock;
+import io.cardamomshelf.node.event.EventLog;
+import io.cardamomshelf.node.event.NodeEvent;
+import io.cardamomshelf.node.port.AppendOutcome;
+import io.cardamomshelf.node.port.KeyedStore;
+import io.cardamomshelf.node.port.StoredRecord;
+import io.smallrye.mutiny.Uni;
+import io.smallrye.mutiny.subscription.UniEmitter;
+import io.vertx.mutiny.core.Vertx;
+import java.util.List;
+import java.util.Optional;
+
+/**
+ * Appends a caller's record and repeats it until it is stored or the caller's time is up.
+ *
+ * <p>A repeat has the same key and content, so storing it twice does no harm. The final outcome is
+ * "refused" only if every single attempt was.
+ */
+final class CallerAppend {
+
+    /** How long one attempt may take, in milliseconds: many times the store's usual answer. */
+    private static final long ATTEMPT_MILLIS = 1_200;
+
+    /** The pause between attempts, in milliseconds. */
+    private static final long RETRY_MILLIS = 150;
+
+    private final Vertx vertx;
+    private final KeyedStore store;
+    private final Clock clock;
+
+    CallerAppend(Vertx vertx, KeyedStore store, Clock clock) {
+        this.vertx = vertx;
+        this.store = store;
+        this.clock = clock;
+    }
+
+    Uni<AppendOutcome> append(StoredRecord record, long untilMillis) {
+        return Uni.createFrom().emitter(emitter -> attempt(record, untilMillis, false, emitter));
+    }
+
+    private void attempt(
+            StoredRecord record,
+            long untilMillis,
+            boolean mayBeStored,
+            UniEmitter<? super AppendOutcome> emitter) {
+        long left = untilMillis - clock.steadyMillis();
+        if (left <= 0) {
+            emitter.complete(outcome(mayBeStored));
+            return;
+        }
+        store.append(List.of(record), Optional.empty(), Math.min(left, ATTEMPT_MILLIS))
+                .subscribe()
+                .with(
+                        outcome -> {
+                            if (outcome instanceof AppendOutcome.Stored) {
+                                emitter.complete(outcome);
+                                return;
+                            }
+                            log(record, outcome);
+                            boolean unknown =
+                                    mayBeStored || outcome instanceof AppendOutcome.Unknown;
+                            again(record, untilMillis, unknown, emitter);
+                        });
+    }
+
+    private void again(
+            StoredRecord record,
+            long untilMillis,
+            boolean mayBeStored,
+            UniEmitter<? super AppendOutcome> emitter) {
+        if (clock.steadyMillis() + RETRY_MILLIS >= untilMillis) {
+            emitter.complete(outcome(mayBeStored));
+            return;
+        }
+        vertx.setTimer(RETRY_MILLIS, id -> attempt(record, untilMillis, mayBeStored, emitter));
+    }
+
+    private static AppendOutcome outcome(boolean mayBeStored) {
+        return mayBeStored
+                ? new AppendOutcome.Unknown("the caller's time is up")
+                : new AppendOutcome.Refused("the store took none of the attempts");
+    }
+
+    private static void log(StoredRecord record, AppendOutcome outcome) {
+        EventLog.of(NodeEvent.APPEND_FAILED)
+                .with("writer", "caller")
+                .with("key", record.key())
+                .with("outcome", outcome)
+                .write();
+    }
+}
--- /dev/null
+++ b/node/src/main/java/io/cardamomshelf/node/ingress/package-info.java
@@ -0,0 +1,2 @@
+/** Callers: submissions, states, cancellations, readiness. */
+package io.cardamomshelf.node.ingress;
--- /dev/null
+++ b/node/src/main/java/io/cardamomshelf/node/schedule/Reign.java
@@ -0,0 +1,291 @@
+package io.cardamomshelf.node.schedule;
+
+import io.cardamomshelf.core.base.JobId;
+import io.cardamomshelf.core.base.OrganisationId;
+import io.cardamomshelf.core.base.WorkerId;
+import io.cardamomshelf.core.schedule.Board;
+import io.cardamomshelf.core.schedule.LeaseClock;
+import io.cardamomshelf.core.schedule.Order;
+import io.cardamomshelf.core.schedule.WorkerInfo;
+import io.cardamomshelf.core.task.JobProgress;
+import io.cardamomshelf.core.task.QueuePolicy;
+import io.cardamomshelf.node.Clock;
+import io.cardamomshelf.node.event.EventLog;
+import io.cardamomshelf.node.event.NodeEvent;
+import io.cardamomshelf.node.port.Configuration;
+import io.cardamomshelf.node.port.StoredRecord;
+import io.cardamomshelf.node.port.WorkerOrders;
+import io.cardamomshelf.node.store.JobRecords;
+import io.cardamomshelf.node.store.JobsView;
+import io.cardamomshelf.node.store.OperatorsView;
+import io.cardamomshelf.node.store.SchedulerLog;
+import io.cardamomshelf.node.store.WorkersView;
+import io.vertx.mutiny.core.Vertx;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * One process's time as scheduler: from its election until it resigns or is deposed.
+ *
+ * <p>Use: {@code reign.begin()} once every record up to the election has been read; then tell it
+ * what changes. It stores progress before it lets workers forget the ends that led to it.
+ *
+ * <p>Not thread-safe: belongs to the instance's event loop.
+ */
+final class Reign implements WorkerLink.Host {
+
+    /**
+     * What a reign works with.
+     *
+     * @param vertx the event loop's owner
+     * @param clock the time
+     * @param orders calls to workers
+     * @param settings the scheduler's times
+     * @param epoch the fencing token
+     */
+    record Parts(
+            Vertx vertx,
+            Clock clock,
+            WorkerOrders orders,
+            SchedulerSettings settings,
+            long epoch) {}
+
+    /** The starts that one epoch may order, so that run numbers rise over schedulers. */
+    private static final long RUNS_PER_EPOCH = 1_000_000;
+
+    /** How often due times and waits are looked at, in milliseconds. */
+    private static final long TICK_MILLIS = 100;
+
+    /** How often jobs that are over long enough are dropped from the store, in milliseconds. */
+    private static final long CLEANING_MILLIS = 5_000;
+
+    private final Parts parts;
+    private final SchedulerLog log;
+    private final JobsView jobs;
+    private final OperatorsView operators;
+    private final WorkersView workers;
+    private final Runnable deposed;
+    private final Board board;
+    private final Map<WorkerId, WorkerLink> links = new LinkedHashMap<>();
+    private final Map<WorkerId, Long> sentEnds = new HashMap<>();
+    private final Map<JobId, Long> endedSince = new HashMap<>();
+    private boolean roundDue;
+    private boolean over;
+    private boolean takingOver = true;
+    private long tickTimer;
+    private long cleaningTimer;
+
+    Reign(
+            Parts parts,
+            SchedulerLog log,
+            JobsView jobs,
+            OperatorsView operators,
+            WorkersView workers,
+            Runnable deposed) {
+        this.parts = parts;
+        this.log = log;
+        this.jobs = jobs;
+        this.operators = operators;
+        this.workers = workers;
+        this.deposed = deposed;
+        this.board = new Board(parts.epoch() * RUNS_PER_EPOCH);
+    }
+
+    void begin() {
+        configure();
+        jobs.all().forEach(this::jobChanged);
+        long inherited =
+                parts.clock().steadyMillis()
+                        + LeaseClock.worstCaseMillis(parts.settings().leaseMillis());
+        workers.listed().forEach(info -> addWorker(info, inherited));
+        for (WorkerInfo info : workers.lately()) {
+            addWorker(info, inherited);
+            board.removeWorker(info.id());
+        }
+        board.endInheritance();
+        links.values().forEach(WorkerLink::kick);
+        tickTimer = parts.vertx().setPeriodic(TICK_MILLIS, id -> changed());
+        cleaningTimer = parts.vertx().setPeriodic(CLEANING_MILLIS, id -> clean());
+        changed();
+    }
+
+    /** Ends all calls to workers but not the log, which takes a last record. */
+    void retire() {
+        over = true;
+        links.values().forEach(WorkerLink::close);
+        parts.vertx().cancelTimer(tickTimer);
+        parts.vertx().cancelTimer(cleaningTimer);
+    }
+
+    void end() {
+        retire();
+        log.close();
+    }
+
+    long epoch() {
+        return parts.epoch();
+    }
+
+    SchedulerLog log() {
+        return log;
+    }
+
+    void configure() {
+        board.close(operators.evacuated());
+        operators.configuration().ifPresent(this::configure);
+    }
+
+    void jobChanged(JobsView.Entry entry) {
+        if (entry.job().isEmpty() || entry.progress().state().isEnded()) {
+            return;
+        }
+        board.putJob(entry.job().get(), entry.progress());
+        if (entry.isCancelled()) {
+            board.cancel(entry.job().get().id());
+        }
+        changed();
+    }
+
+    void workerListed(WorkerInfo info) {
+        addWorker(info, parts.clock().steadyMillis());
+        links.get(info.id()).kick();
+    }
+
+    void workerUnlisted(WorkerId id) {
+        board.removeWorker(id);
+        EventLog.of(NodeEvent.WORKER_UNLISTED).with("worker", id).write();
+    }
+
+    @Override
+    public void changed() {
+        if (!roundDue && !over) {
+            roundDue = true;
+            parts.vertx().runOnContext(this::round);
+        }
+    }
+
+    @Override
+    public void fenced(WorkerInfo worker) {
+        if (!over) {
+            EventLog.of(NodeEvent.LEADERSHIP_LOST)
+                    .with("epoch", epoch())
+                    .with("cause", "worker " + worker.id() + " has seen a newer scheduler")
+                    .write();
+            deposed.run();
+        }
+    }
+
+    private void configure(Configuration configuration) {
+        Map<String, QueuePolicy> queues = new HashMap<>();
+        configuration.routes().forEach(r -> queues.put(r.policy().name(), r.policy()));
+        Map<OrganisationId, Integer> guarantees = new HashMap<>();
+        configuration
+                .organisations()
+                .forEach(o -> guarantees.put(o.id(), o.guaranteedAccelerators()));
+        board.configure(queues, guarantees);
+        changed();
+    }
+
+    private void addWorker(WorkerInfo info, long inheritedMillis) {
+        board.putWorker(info);
+        WorkerLink link = links.get(info.id());
+        if (link == null) {
+            links.put(info.id(), new WorkerLink(parts, board, this, info, inheritedMillis));
+        } else {
+            link.update(info);
+        }
+    }
+
+    private void round() {
+        roundDue = false;
+        if (over) {
+            return;
+        }
+        for (Order order : board.decide(parts.clock().now())) {
+            carryOut(order);
+        }
+        store();
+        if (takingOver && board.unseen().isEmpty()) {
+            takingOver = false;
+            EventLog.of(NodeEvent.TAKEOVER_COMPLETE)
+                    .with("epoch", epoch())
+                    .with("runs", board.runs())
+                    .write();
+        }
+    }
+
+    private void carryOut(Order order) {
+        WorkerLink link = links.get(order.worker());
+        if (order instanceof Order.Start start) {
+            EventLog.of(NodeEvent.RUN_ORDERED)
+                    .with("task", start.task())
+                    .with("run", start.run())
+                    .with("worker", start.worker())
+                    .write();
+            link.start(start);
+        } else if (order instanceof Order.Stop stop) {
+            EventLog.of(NodeEvent.STOP_ORDERED)
+                    .with("task", stop.task())
+                    .with("run", stop.run())
+                    .with("worker", stop.worker())
+                    .with("reason", stop.reason())
+                    .write();
+            link.stop(stop);
+        }
+    }
+
+    /** Stores what has changed, and only then lets the workers forget the ends behind it. */
+    private void store() {
+        Map<JobId, JobProgress> progress = board.takeChanged();
+        Map<WorkerId, Long> ends = new HashMap<>();
+        for (WorkerId id : links.keySet()) {
+            long last = board.lastEnd(id);
+            if (last != sentEnds.getOrDefault(id, 0L)) {
+                sentEnds.put(id, last);
+                ends.put(id, last);
+            }
+        }
+        if (progress.isEmpty() && ends.isEmpty()) {
+            return;
+        }
+        List<StoredRecord> records = new ArrayList<>();
+        progress.forEach((id, value) -> records.add(JobRecords.progress(id, value)));
+        log.append(
+                records,
+                () -> {
+                    progress.forEach(this::progressStored);
+                    ends.forEach((id, last) -> links.get(id).stored(last));
+                });
+    }
+
+    private void progressStored(JobId id, JobProgress progress) {
+        EventLog.of(NodeEvent.PROGRESS_STORED)
+                .with("job", id)
+                .with("state", progress.state())
+                .write();
+    }
+
+    /** Drops the records of jobs that have been over for longer than callers may ask. */
+    private void clean() {
+        long now = parts.clock().steadyMillis();
+        List<StoredRecord> drops = new ArrayList<>();
+        for (JobsView.Entry entry : jobs.all()) {
+            JobId id = entry.job().orElseThrow().id();
+            if (!entry.progress().state().isEnded()) {
+                continue;
+            }
+            board.forget(id);
+            long since = endedSince.computeIfAbsent(id, any -> now);
+            if (now - since > parts.settings().stateKeptMillis()) {
+                drops.addAll(JobRecords.drops(id));
+                endedSince.remove(id);
+            }
+        }
+        if (!drops.isEmpty()) {
+            log.append(drops, () -> {});
+        }
+    }
+}
--- /dev/null
+++ b/node/src/main/java/io/cardamomshelf/node/schedule/Scheduling.java
@@ -0,0 +1,319 @@
+package io.cardamomshelf.node.schedule;
+
+import io.cardamomshelf.core.base.WorkerId;
+import io.cardamomshelf.core.schedule.ElectionTimer;
+import io.cardamomshelf.core.schedule.WorkerInfo;
+import io.cardamomshelf.node.Clock;
+import io.cardamomshelf.node.event.EventLog;
+import io.cardamomshelf.node.event.NodeEvent;
+import io.cardamomshelf.node.port.AppendOutcome;
+import io.cardamomshelf.node.port.KeyedStore;
+import io.cardamomshelf.node.port.KeyedStore.Writer;
+import io.cardamomshelf.node.port.StoredRecord;
+import io.cardamomshelf.node.port.WorkerOrders;
+import io.cardamomshelf.node.settings.NodeSettings;
+import io.cardamomshelf.node.store.JobRecords;
+import io.cardamomshelf.node.store.JobsView;
+import io.cardamomshelf.node.store.OperatorsView;
+import io.cardamomshelf.node.store.SchedulerLog;
+import io.cardamomshelf.node.store.WorkersView;
+import io.smallrye.mutiny.Uni;
+import io.vertx.mutiny.core.Vertx;
+import java.util.List;
+import java.util.Optional;
+import java.util.Random;
+import java.util.function.LongSupplier;
+
+/**
+ * Scheduler in waiting: stands for election when there is none, and schedules while elected.
+ *
+ * <p>The store's order decides an election: an epoch is taken by its first append, and every later
+ * append or order of an older epoch is refused by the store or the worker that gets it.
+ *
+ * <p>Not thread-safe: belongs to the instance's event loop.
+ */
+public final class Scheduling implements JobsView.Listener, WorkersView.Listener {
+
+    /** The scheduler's sign of life, in milliseconds; several fit into the shortest silence. */
+    private static final long HEARTBEAT_MILLIS = 500;
+
+    /** How often standing is considered, in milliseconds. */
+    private static final long WATCH_MILLIS = 100;
+
+    /** How long the scheduler must be silent: four of its signs missed. */
+    private static final long SILENCE_MILLIS = 2_000;
+
+    /** Up to this much is added at random, so that candidates don't collide, in milliseconds. */
+    private static final int JITTER_MILLIS = 400;
+
+    /** How long an append of a candidate may take, in milliseconds. */
+    private static final long STAND_MILLIS = 1_500;
+
+    private static final int STAND_ATTEMPTS = 3;
+
+    /** First sequence numbers are drawn below this, so that two candidates' never follow on. */
+    private static final int SEQUENCES = 1 << 30;
+
+    private final Vertx vertx;
+    private final KeyedStore store;
+    private final WorkerOrders orders;
+    private final Clock clock;
+    private final NodeSettings settings;
+    private final LongSupplier position;
+    private final Random random;
+    private final ElectionTimer timer;
+    private final JobsView jobs;
+    private final WorkersView workers;
+    private final OperatorsView operators;
+    private boolean standing;
+    private boolean stopped;
+    private long electedAt = -1;
+    private Reign waiting;
+    private Reign reign;
+
+    /**
+     * Creates a candidate.
+     *
+     * @param vertx the event loop's owner, not null
+     * @param store the store, not null
+     * @param orders calls to workers, not null
+     * @param views what was read of the store, not null
+     * @param clock the time, not null
+     * @param settings the machine's settings, not null
+     * @param position up to where the jobs' records were read, not null
+     */
+    public Scheduling(
+            Vertx vertx,
+            KeyedStore store,
+            WorkerOrders orders,
+            Views views,
+            Clock clock,
+            NodeSettings settings,
+            LongSupplier position) {
+        this.vertx = vertx;
+        this.store = store;
+        this.orders = orders;
+        this.clock = clock;
+        this.settings = settings;
+        this.position = position;
+        this.random = new Random(settings.name().hashCode() * 31L + clock.now().wallMillis());
+        this.timer = new ElectionTimer(SILENCE_MILLIS + random.nextInt(JITTER_MILLIS));
+        this.jobs = views.jobs(this);
+        this.workers = views.workers(this);
+        this.operators = views.operators();
+    }
+
+    /** Gives the views, two of which report to the scheduler. */
+    public interface Views {
+
+        /**
+         * Makes the view of the jobs.
+         *
+         * @param listener hears its changes, not null
+         * @return the view, never null
+         */
+        JobsView jobs(JobsView.Listener listener);
+
+        /**
+         * Makes the view of the workers.
+         *
+         * @param listener hears its changes, not null
+         * @return the view, never null
+         */
+        WorkersView workers(WorkersView.Listener listener);
+
+        /**
+         * Returns the view of what operators want.
+         *
+         * @return the view, never null
+         */
+        OperatorsView operators();
+    }
+
+    /** Starts to watch for a scheduler. */
+    public void start() {
+        vertx.setPeriodic(WATCH_MILLIS, id -> watch());
+        vertx.setPeriodic(HEARTBEAT_MILLIS, id -> beat());
+    }
+
+    /**
+     * Hands leadership on, if it is here, and stands no more.
+     *
+     * @return completes when that is stored, or at once
+     */
+    public Uni<Void> resign() {
+        stopped = true;
+        if (reign == null) {
+            return Uni.createFrom().voidItem();
+        }
+        Reign last = reign;
+        reign = null;
+        return Uni.createFrom()
+                .emitter(
+                        emitter -> {
+                            last.retire();
+                            last.log()
+                                    .append(
+                                            List.of(leader(last.epoch(), true)),
+                                            () -> {
+                                                EventLog.of(NodeEvent.LEADERSHIP_RESIGNED)
+                                                        .with("epoch", last.epoch())
+                                                        .write();
+                                                last.end();
+                                                emitter.complete(null);
+                                            });
+                        });
+    }
+
+    /**
+     * Asks whether this process is the scheduler, as far as it knows.
+     *
+     * @return true from the election until it is deposed
+     */
+    public boolean isLeading() {
+        return reign != null;
+    }
+
+    /** Takes a new configuration or evacuation. */
+    public void configured() {
+        if (reign != null) {
+            reign.configure();
+        }
+    }
+
+    @Override
+    public void jobChanged(JobsView.Entry entry) {
+        if (reign != null) {
+            reign.jobChanged(entry);
+        }
+    }
+
+    @Override
+    public void leaderSeen(JobRecords.Leader leader) {
+        timer.heard(clock.steadyMillis());
+        if (leader.resigned()) {
+            timer.resigned();
+        }
+        boolean other = reign == null || leader.epoch() != reign.epoch();
+        if (other && !leader.holder().equals(settings.name())) {
+            EventLog.of(NodeEvent.LEADER_SEEN)
+                    .with("holder", leader.holder())
+                    .with("epoch", leader.epoch())
+                    .with("resigned", leader.resigned())
+                    .write();
+        }
+        if (reign != null && leader.epoch() > reign.epoch()) {
+            EventLog.of(NodeEvent.LEADERSHIP_LOST)
+                    .with("epoch", reign.epoch())
+                    .with("cause", leader.holder() + " took epoch " + leader.epoch())
+                    .write();
+            deposed(reign);
+        }
+        if (waiting != null && leader.epoch() > waiting.epoch()) {
+            waiting = null;
+        }
+    }
+
+    @Override
+    public void caughtUp() {
+        timer.proven(clock.steadyMillis());
+        if (waiting != null && position.getAsLong() > electedAt) {
+            reign = waiting;
+            waiting = null;
+            reign.begin();
+        }
+    }
+
+    @Override
+    public void workerListed(WorkerInfo info) {
+        if (reign != null) {
+            reign.workerListed(info);
+        }
+    }
+
+    @Override
+    public void workerUnlisted(WorkerId id) {
+        if (reign != null) {
+            reign.workerUnlisted(id);
+        }
+    }
+
+    private void beat() {
+        if (reign != null && !reign.log().isBusy()) {
+            reign.log().append(List.of(leader(reign.epoch(), false)), () -> {});
+        }
+    }
+
+    private void watch() {
+        boolean free = reign == null && waiting == null && !standing && !stopped;
+        boolean ready = operators.configuration().isPresent() && !workers.listed().isEmpty();
+        if (free && ready && timer.mayStand(clock.steadyMillis())) {
+            standing = true;
+            long epoch = jobs.leader().map(JobRecords.Leader::epoch).orElse(0L) + 1;
+            stand(epoch, random.nextInt(SEQUENCES), 1);
+        }
+    }
+
+    private void stand(long epoch, long sequence, int attempt) {
+        Writer writer = new Writer(epoch, sequence);
+        store.append(List.of(leader(epoch, false)), Optional.of(writer), STAND_MILLIS)
+                .subscribe()
+                .with(outcome -> stood(outcome, writer, attempt));
+    }
+
+    private void stood(AppendOutcome outcome, Writer writer, int attempt) {
+        if (outcome instanceof AppendOutcome.Stored stored) {
+            standing = false;
+            EventLog.of(NodeEvent.LEADERSHIP_WON).with("epoch", writer.epoch()).write();
+            elected(stored.offset(), writer);
+        } else if (outcome instanceof AppendOutcome.Unknown && attempt < STAND_ATTEMPTS) {
+            stand(writer.epoch(), writer.sequence(), attempt + 1);
+        } else {
+            standing = false;
+            timer.heard(clock.steadyMillis());
+            EventLog.of(NodeEvent.LEADERSHIP_MISSED)
+                    .with("epoch", writer.epoch())
+                    .with("outcome", outcome)
+                    .write();
+        }
+    }
+
+    private void elected(long offset, Writer writer) {
+        if (stopped || jobs.leader().map(JobRecords.Leader::epoch).orElse(0L) > writer.epoch()) {
+            return;
+        }
+        Reign[] self = new Reign[1];
+        SchedulerLog log =
+                new SchedulerLog(
+                        vertx,
+                        store,
+                        writer.epoch(),
+                        writer.sequence() + 1,
+                        () -> deposed(self[0]));
+        Reign.Parts parts =
+                new Reign.Parts(
+                        vertx,
+                        clock,
+                        orders,
+                        SchedulerSettings.of(settings.bounds()),
+                        writer.epoch());
+        self[0] = new Reign(parts, log, jobs, operators, workers, () -> deposed(self[0]));
+        electedAt = offset;
+        waiting = self[0];
+        if (position.getAsLong() > offset) {
+            caughtUp();
+        }
+    }
+
+    private void deposed(Reign old) {
+        old.end();
+        if (reign == old) {
+            reign = null;
+            timer.heard(clock.steadyMillis());
+        }
+    }
+
+    private StoredRecord leader(long epoch, boolean resigned) {
+        return JobRecords.leader(new JobRecords.Leader(settings.name(), epoch, resigned));
+    }
+}
--- /dev/null
+++ b/node/src/main/java/io/cardamomshelf/node/schedule/WorkerLink.java
@@ -0,0 +1,283 @@
+package io.cardamomshelf.node.schedule;
+
+import io.cardamomshelf.core.schedule.Board;
+import io.cardamomshelf.core.schedule.LeaseClock;
+import io.cardamomshelf.core.schedule.Order;
+import io.cardamomshelf.core.schedule.WorkerInfo;
+import io.cardamomshelf.core.schedule.WorkerLists;
+import io.cardamomshelf.node.Clock;
+import io.cardamomshelf.node.event.EventLog;
+import io.cardamomshelf.node.event.NodeEvent;
+import io.cardamomshelf.node.port.WorkerOrders;
+import io.cardamomshelf.node.port.WorkerOrders.Answer;
+import io.vertx.mutiny.core.Vertx;
+import java.util.OptionalLong;
+
+/**
+ * The scheduler's side of one worker: renews its lease while anything runs there, carries orders
+ * out and tells the board what came of them.
+ *
+ * <p>At most one renewal is under way; it is answered at the next end, so that an idle worker costs
+ * no calls and a busy one about one a second.
+ *
+ * <p>Not thread-safe: belongs to the instance's event loop.
+ */
+final class WorkerLink {
+
+    /** What the scheduler does with what a worker tells. */
+    interface Host {
+
+        /** Decides again, as something has changed. */
+        void changed();
+
+        /** Gives up, as the worker has seen a newer scheduler. */
+        void fenced(WorkerInfo worker);
+    }
+
+    /** How long a worker may wait for an end before it answers, in milliseconds. */
+    private static final long WAIT_MILLIS = 1_000;
+
+    /** How long an answer may take beyond that: several round trips between regions. */
+    private static final long ANSWER_MILLIS = 900;
+
+    /** How long a start may take before it is repeated; two fit into a gang's patience. */
+    private static final long START_MILLIS = 700;
+
+    /** The pause after a call without an answer, in milliseconds. */
+    private static final long RETRY_MILLIS = 250;
+
+    /** The pause while ends wait to be stored, in milliseconds. */
+    private static final long UNSTORED_MILLIS = 300;
+
+    private static final int SILENT_AFTER = 2;
+    private static final int START_ATTEMPTS = 2;
+
+    private final Vertx vertx;
+    private final WorkerOrders orders;
+    private final Board board;
+    private final Clock clock;
+    private final Host host;
+    private final long token;
+    private final long leaseMillis;
+    private final LeaseClock lease;
+    private WorkerInfo info;
+    private long stored;
+    private int failures;
+    private boolean holding;
+    private boolean closed;
+
+    WorkerLink(Reign.Parts parts, Board board, Host host, WorkerInfo info, long inheritedMillis) {
+        this.vertx = parts.vertx();
+        this.orders = parts.orders();
+        this.clock = parts.clock();
+        this.token = parts.epoch();
+        this.leaseMillis = parts.settings().leaseMillis();
+        this.board = board;
+        this.host = host;
+        this.info = info;
+        this.lease = new LeaseClock(inheritedMillis);
+    }
+
+    void update(WorkerInfo next) {
+        if (next.bornMillis() > info.bornMillis()) {
+            beginIncarnation();
+        }
+        info = next;
+    }
+
+    void close() {
+        closed = true;
+    }
+
+    /** Ends up to here are stored, so the worker may forget them. */
+    void stored(long lastEnd) {
+        stored = Math.max(stored, lastEnd);
+        kick();
+    }
+
+    /** Makes sure that a renewal is under way if the worker has anything to tell. */
+    void kick() {
+        if (!holding && !closed && isWatched()) {
+            hold();
+        }
+    }
+
+    void start(Order.Start start) {
+        start(start, 1);
+    }
+
+    void stop(Order.Stop stop) {
+        if (closed) {
+            return;
+        }
+        orders.stop(target(), stop, token, START_MILLIS)
+                .subscribe()
+                .with(reply -> stopAnswered(stop, reply));
+    }
+
+    private boolean isWatched() {
+        return board.isWatched(info.id()) || stored < board.lastEnd(info.id()) || failures > 0;
+    }
+
+    private WorkerOrders.Target target() {
+        return new WorkerOrders.Target(info.id(), info.endpoint());
+    }
+
+    private void hold() {
+        holding = true;
+        long now = clock.steadyMillis();
+        OptionalLong end =
+                lease.isKnown()
+                        ? OptionalLong.of(lease.leaseEnd(now, leaseMillis))
+                        : OptionalLong.empty();
+        long wait = lease.isKnown() && failures == 0 ? WAIT_MILLIS : 0;
+        orders.hold(target(), end, stored, wait, token, wait + ANSWER_MILLIS)
+                .subscribe()
+                .with(holdingAnswer -> held(holdingAnswer, now));
+    }
+
+    private void held(WorkerOrders.Holding answer, long askedMillis) {
+        holding = false;
+        if (closed) {
+            return;
+        }
+        answer.clockMillis().ifPresent(this::observe);
+        switch (answer.answer()) {
+            case DONE -> listed(answer, askedMillis);
+            case FENCED -> host.fenced(info);
+            default -> unanswered(answer);
+        }
+    }
+
+    private void listed(WorkerOrders.Holding answer, long askedMillis) {
+        if (failures >= SILENT_AFTER) {
+            EventLog.of(NodeEvent.WORKER_ANSWERS).with("worker", info.id()).write();
+        }
+        failures = 0;
+        WorkerLists lists = answer.lists();
+        if (lists.bornMillis() > info.bornMillis()) {
+            beginIncarnation();
+        }
+        logEnds(lists);
+        board.report(info.id(), lists, askedMillis, answer.isWhole(), clock.now());
+        host.changed();
+        if (stored < board.lastEnd(info.id())) {
+            vertx.setTimer(UNSTORED_MILLIS, id -> kick());
+        } else {
+            kick();
+        }
+    }
+
+    private void logEnds(WorkerLists lists) {
+        for (WorkerLists.Ended ended : lists.ended()) {
+            if (ended.number() > board.lastEnd(info.id())) {
+                EventLog.of(NodeEvent.RUN_ENDED)
+                        .with("task", ended.task())
+                        .with("run", ended.run())
+                        .with("worker", info.id())
+                        .with("end", ended.end())
+                        .write();
+            }
+        }
+    }
+
+    private void unanswered(WorkerOrders.Holding answer) {
+        failures++;
+        if (failures == SILENT_AFTER) {
+            board.markSilent(info.id(), true);
+            EventLog.of(NodeEvent.WORKER_SILENT)
+                    .with("worker", info.id())
+                    .with("answer", answer.answer())
+                    .with("detail", answer.detail())
+                    .write();
+        }
+        if (failures >= SILENT_AFTER && lease.isLapsed(clock.steadyMillis())) {
+            if (board.isOccupied(info.id())) {
+                EventLog.of(NodeEvent.WORKER_LOST).with("worker", info.id()).write();
+            }
+            board.loseWorker(info.id());
+            host.changed();
+        }
+        vertx.setTimer(RETRY_MILLIS, id -> kick());
+    }
+
+    private void beginIncarnation() {
+        lease.reset();
+        stored = 0;
+    }
+
+    private void observe(long workerMillis) {
+        lease.observe(workerMillis, clock.steadyMillis());
+    }
+
+    private void start(Order.Start start, int attempt) {
+        if (closed) {
+            return;
+        }
+        long end = lease.leaseEnd(clock.steadyMillis(), leaseMillis);
+        orders.start(target(), start, end, token, START_MILLIS)
+                .subscribe()
+                .with(reply -> startAnswered(start, attempt, reply));
+    }
+
+    private void startAnswered(Order.Start start, int attempt, WorkerOrders.Reply reply) {
+        if (closed) {
+            return;
+        }
+        reply.clockMillis().ifPresent(this::observe);
+        boolean again = reply.answer() == Answer.UNKNOWN || reply.answer() == Answer.TOO_LATE;
+        if (reply.answer() == Answer.FENCED) {
+            host.fenced(info);
+            return;
+        }
+        if (reply.answer() != Answer.DONE) {
+            logFailure(start, attempt, reply);
+        }
+        if (again && attempt < START_ATTEMPTS) {
+            start(start, attempt + 1);
+            return;
+        }
+        board.started(start, outcome(attempt, reply.answer()), clock.now());
+        host.changed();
+        kick();
+    }
+
+    /** A refusal settles a start only if no earlier attempt at it may still be carried out. */
+    private static Board.StartOutcome outcome(int attempt, Answer answer) {
+        if (answer == Answer.DONE) {
+            return Board.StartOutcome.STARTED;
+        }
+        boolean settled = answer != Answer.UNKNOWN && attempt == 1;
+        return settled ? Board.StartOutcome.REFUSED : Board.StartOutcome.UNKNOWN;
+    }
+
+    private void logFailure(Order.Start start, int attempt, WorkerOrders.Reply reply) {
+        EventLog.of(NodeEvent.START_FAILED)
+                .with("task", start.task())
+                .with("run", start.run())
+                .with("worker", info.id())
+                .with("attempt", attempt)
+                .with("answer", reply.answer())
+                .with("detail", reply.detail())
+                .write();
+    }
+
+    private void stopAnswered(Order.Stop stop, WorkerOrders.Reply reply) {
+        if (closed) {
+            return;
+        }
+        reply.clockMillis().ifPresent(this::observe);
+        switch (reply.answer()) {
+            case FENCED -> host.fenced(info);
+            case UNKNOWN -> {
+                if (board.isOccupied(info.id())) {
+                    vertx.setTimer(RETRY_MILLIS, id -> stop(stop));
+                }
+            }
+            default -> {
+                board.stopped(stop, clock.now());
+                kick();
+            }
+        }
+    }
+}
--- /dev/null
+++ b/node/src/main/java/io/cardamomshelf/node/settings/package-info.java
@@ -0,0 +1,2 @@
+/** The settings of one machine. */
+package io.cardamomshelf.node.settings;
--- /dev/null
+++ b/node/src/main/java/io/cardamomshelf/node/store/JobRecords.java
@@ -0,0 +1,241 @@
+package io.cardamomshelf.node.store;
+
+import com.fasterxml.jackson.core.JsonGenerator;
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.DeserializationContext;
+import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.SerializerProvider;
+import com.fasterxml.jackson.databind.deser.std.FromStringDeserializer;
+import com.fasterxml.jackson.databind.deser.std.StdDeserializer;
+import com.fasterxml.jackson.databind.module.SimpleModule;
+import com.fasterxml.jackson.databind.ser.std.StdSerializer;
+import com.fasterxml.jackson.databind.ser.std.ToStringSerializer;
+import io.cardamomshelf.core.base.JobId;
+import io.cardamomshelf.core.base.OrganisationId;
+import io.cardamomshelf.core.task.JobProgress;
+import io.cardamomshelf.core.task.TaskJob;
+import io.cardamomshelf.node.port.StoreException;
+import io.cardamomshelf.node.port.StoredRecord;
+import java.io.IOException;
+import java.util.BitSet;
+import java.util.List;
+import java.util.function.Function;
+import org.msgpack.jackson.dataformat.MessagePackFactory;
+
+/**
+ * The formats of this service's own records, in MessagePack.
+ *
+ * <p>Each fact has a key of its own, so that a late append of one writer never overwrites what
+ * another one wrote: {@code a:ID} the accepted job, {@code c:ID} its cancellation, {@code p:ID} its
+ * progress, {@code leader} the scheduler.
+ *
+ * <p>Stateless and thread-safe.
+ */
+public final class JobRecords {
+
+    /** What a record is about. */
+    public enum Kind {
+        /** An accepted job. */
+        ACCEPTED,
+        /** A cancellation. */
+        CANCELLED,
+        /** How far a job has come. */
+        PROGRESS,
+        /** Who the scheduler is. */
+        LEADER,
+        /** A key that this version doesn't know. */
+        OTHER
+    }
+
+    /**
+     * Who the scheduler is.
+     *
+     * @param holder the machine's name, not null
+     * @param epoch its fencing token
+     * @param resigned whether it has handed leadership on
+     */
+    public record Leader(String holder, long epoch, boolean resigned) {}
+
+    private static final String ACCEPTED = "a:";
+    private static final String CANCELLED = "c:";
+    private static final String PROGRESS = "p:";
+    private static final String LEADER = "leader";
+    private static final byte[] PRESENT = {1};
+
+    private static final ObjectMapper MAPPER =
+            new ObjectMapper(new MessagePackFactory())
+                    .registerModule(module())
+                    .disable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES);
+
+    private JobRecords() {}
+
+    /**
+     * Makes the record of an accepted job.
+     *
+     * @param job the job, not null
+     * @return the record, never null
+     */
+    public static StoredRecord accepted(TaskJob job) {
+        return StoredRecord.of(ACCEPTED + job.id(), write(job));
+    }
+
+    /**
+     * Makes the record of a cancellation.
+     *
+     * @param id the job, not null
+     * @return the record, never null
+     */
+    public static StoredRecord cancelled(JobId id) {
+        return StoredRecord.of(CANCELLED + id, PRESENT);
+    }
+
+    /**
+     * Makes the record of a job's progress.
+     *
+     * @param id the job, not null
+     * @param progress how far it has come, not null
+     * @return the record, never null
+     */
+    public static StoredRecord progress(JobId id, JobProgress progress) {
+        return StoredRecord.of(PROGRESS + id, write(progress));
+    }
+
+    /**
+     * Makes the record of the scheduler.
+     *
+     * @param leader who it is, not null
+     * @return the record, never null
+     */
+    public static StoredRecord leader(Leader leader) {
+        return StoredRecord.of(LEADER, write(leader));
+    }
+
+    /**
+     * Makes the records that drop all that is stored of a job.
+     *
+     * @param id the job, not null
+     * @return the records, never null
+     */
+    public static List<StoredRecord> drops(JobId id) {
+        return List.of(
+                StoredRecord.dropped(ACCEPTED + id),
+                StoredRecord.dropped(CANCELLED + id),
+                StoredRecord.dropped(PROGRESS + id));
+    }
+
+    /**
+     * Tells what a record is about.
+     *
+     * @param record the record, not null
+     * @return its kind, never null
+     */
+    public static Kind kind(StoredRecord record) {
+        String key = record.key();
+        if (key.startsWith(ACCEPTED)) {
+            return Kind.ACCEPTED;
+        } else if (key.startsWith(CANCELLED)) {
+            return Kind.CANCELLED;
+        } else if (key.startsWith(PROGRESS)) {
+            return Kind.PROGRESS;
+        }
+        return key.equals(LEADER) ? Kind.LEADER : Kind.OTHER;
+    }
+
+    /**
+     * Returns the job that a record is about.
+     *
+     * @param record a record of a job, not null
+     * @return the job, never null
+     */
+    public static JobId job(StoredRecord record) {
+        return JobId.of(record.key().substring(record.key().indexOf(':') + 1));
+    }
+
+    /**
+     * Reads a value.
+     *
+     * @param <T> its type
+     * @param record the record, not null
+     * @param type its type, not null
+     * @return the value, never null
+     * @throws StoreException if the bytes are no such value
+     */
+    public static <T> T read(StoredRecord record, Class<T> type) throws StoreException {
+        try {
+            return MAPPER.readValue(record.value(), type);
+        } catch (IOException e) {
+            throw new StoreException("record " + record.key() + ": " + e.getMessage());
+        }
+    }
+
+    private static byte[] write(Object value) {
+        try {
+            return MAPPER.writeValueAsBytes(value);
+        } catch (JsonProcessingException e) {
+            throw new IllegalStateException("can't be written: " + value.getClass(), e);
+        }
+    }
+
+    private static SimpleModule module() {
+        SimpleModule module = new SimpleModule("node");
+        add(module, JobId.class, JobId::of);
+        add(module, OrganisationId.class, OrganisationId::of);
+        module.addSerializer(BitSet.class, new BitSetWriter());
+        module.addDeserializer(BitSet.class, new BitSetReader());
+        return module;
+    }
+
+    private static <T> void add(SimpleModule module, Class<T> type, Function<String, T> parser) {
+        module.addSerializer(type, ToStringSerializer.instance);
+        module.addDeserializer(type, new TextReader<>(type, parser));
+    }
+
+    private static final class TextReader<T> extends FromStringDeserializer<T> {
+
+        private static final long serialVersionUID = 1L;
+
+        private final transient Function<String, T> parser;
+
+        TextReader(Class<T> type, Function<String, T> parser) {
+            super(type);
+            this.parser = parser;
+        }
+
+        @Override
+        protected T _deserialize(String value, DeserializationContext context) {
+            return parser.apply(value);
+        }
+    }
+
+    private static final class BitSetWriter extends StdSerializer<BitSet> {
+
+        private static final long serialVersionUID = 1L;
+
+        BitSetWriter() {
+            super(BitSet.class);
+        }
+
+        @Override
+        public void serialize(BitSet value, JsonGenerator out, SerializerProvider provider)
+                throws IOException {
+            out.writeBinary(value.toByteArray());
+        }
+    }
+
+    private static final class BitSetReader extends StdDeserializer<BitSet> {
+
+        private static final long serialVersionUID = 1L;
+
+        BitSetReader() {
+            super(BitSet.class);
+        }
+
+        @Override
+        public BitSet deserialize(JsonParser in, DeserializationContext context)
+                throws IOException {
+            return BitSet.valueOf(in.getBinaryValue());
+        }
+    }
+}
