--- a/core/src/main/java/io/cardamomshelf/core/schedule/Board.java
+++ b/core/src/main/java/io/cardamomshelf/core/schedule/Board.java
@@ -204,7 +204,7 @@
      */
     public List<Order> decide(Moment now) {
         jobs.updateStates();
-        List<Order> orders = new ArrayList<>(workers.strays().takeOrders());
+        List<Order> orders = new ArrayList<>(workers.strays().takeOrders(now.steadyMillis()));
         for (LiveJob job : jobs.all()) {
             for (TaskGroup group : job.groups()) {
                 stopUnwanted(group, now, orders);
@@ -274,8 +274,9 @@
         return workers.all().stream().mapToInt(worker -> worker.runs().size()).sum();
     }
 
+    /** The workers whose room is known: all but those that run what no job wants. */
     Collection<WorkerState> workers() {
-        return workers.all();
+        return workers.all().stream().filter(w -> !workers.strays().isAt(w.id())).toList();
     }
 
     Set<DataCentreId> closed() {
--- a/core/src/main/java/io/cardamomshelf/core/schedule/Strays.java
+++ b/core/src/main/java/io/cardamomshelf/core/schedule/Strays.java
@@ -4,34 +4,61 @@
 import io.cardamomshelf.core.task.TaskId;
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 
-/** Runs that workers list and no live job wants; each is ordered to stop until it is gone. */
+/**
+ * Runs that workers list and no live job wants; each is ordered to stop until it is gone.
+ *
+ * <p>What such a run takes isn't known here, so a worker that has one gets nothing new.
+ */
 final class Strays {
 
-    private final Map<WorkerId, Set<Order.Stop>> byWorker = new HashMap<>();
-    private final Set<Order.Stop> fresh = new LinkedHashSet<>();
+    /** How long an ordered stop may take before it is ordered again, in milliseconds. */
+    private static final long AGAIN_MILLIS = 1_500;
 
-    void plus(WorkerId worker, TaskId task, long run) {
-        Order.Stop stop = new Order.Stop(worker, task, run, Order.StopReason.UNWANTED);
-        byWorker.computeIfAbsent(worker, id -> new LinkedHashSet<>()).add(stop);
-        fresh.add(stop);
+    private static final long NEVER = Long.MIN_VALUE / 2;
+
+    private final Map<WorkerId, Map<Order.Stop, Long>> orderedMillis = new HashMap<>();
+
+    /** Takes all strays of a worker's list; those that aren't in it are gone. */
+    void replace(WorkerId worker, List<WorkerLists.Running> strays) {
+        Map<Order.Stop, Long> before = orderedMillis.getOrDefault(worker, Map.of());
+        Map<Order.Stop, Long> after = new HashMap<>();
+        for (WorkerLists.Running stray : strays) {
+            Order.Stop stop = stop(worker, stray.task(), stray.run());
+            after.put(stop, before.getOrDefault(stop, NEVER));
+        }
+        if (after.isEmpty()) {
+            orderedMillis.remove(worker);
+        } else {
+            orderedMillis.put(worker, after);
+        }
     }
 
     void clear(WorkerId worker) {
-        byWorker.remove(worker);
+        orderedMillis.remove(worker);
     }
 
     boolean isAt(WorkerId worker) {
-        return byWorker.containsKey(worker);
+        return orderedMillis.containsKey(worker);
     }
 
-    List<Order> takeOrders() {
-        List<Order> orders = new ArrayList<>(fresh);
-        fresh.clear();
+    /** The stops that are due, each noted as ordered now. */
+    List<Order> takeOrders(long nowMillis) {
+        List<Order> orders = new ArrayList<>();
+        for (Map<Order.Stop, Long> stops : orderedMillis.values()) {
+            for (Map.Entry<Order.Stop, Long> stop : stops.entrySet()) {
+                if (nowMillis - stop.getValue() >= AGAIN_MILLIS) {
+                    stop.setValue(nowMillis);
+                    orders.add(stop.getKey());
+                }
+            }
+        }
         return orders;
     }
+
+    private static Order.Stop stop(WorkerId worker, TaskId task, long run) {
+        return new Order.Stop(worker, task, run, Order.StopReason.UNWANTED);
+    }
 }
--- a/core/src/main/java/io/cardamomshelf/core/schedule/WorkerBook.java
+++ b/core/src/main/java/io/cardamomshelf/core/schedule/WorkerBook.java
@@ -93,8 +93,9 @@
         worker.reported = true;
         unseen.remove(worker.id());
         lists.ended().forEach(ended -> end(worker, ended, now));
-        strays.clear(worker.id());
-        lists.running().forEach(running -> see(worker, running, now));
+        strays.replace(
+                worker.id(),
+                lists.running().stream().filter(running -> !see(worker, running, now)).toList());
         if (whole) {
             dropAbsent(worker, lists, askedMillis);
         }
@@ -119,18 +120,19 @@
         return find(order.worker()).flatMap(worker -> worker.run(order.task(), order.run()));
     }
 
-    private void see(WorkerState worker, WorkerLists.Running running, Moment now) {
+    /** Takes a run that a worker lists; returns false if no job wants it. */
+    private boolean see(WorkerState worker, WorkerLists.Running running, Moment now) {
         Optional<Run> known = worker.run(running.task(), running.run());
         Run run = known.or(() -> adopt(worker, running, now)).orElse(null);
         if (run == null) {
-            strays.plus(worker.id(), running.task(), running.run());
-            return;
+            return false;
         }
         if (run.phase == Run.Phase.ORDERED) {
             settle(run, now);
         }
         run.percent = running.percent();
         run.group.save(running.task().index(), running.checkpoint());
+        return true;
     }
 
     private Optional<Run> adopt(WorkerState worker, WorkerLists.Running running, Moment now) {
--- /dev/null
+++ b/core/src/test/java/io/cardamomshelf/core/schedule/TimersTest.java
@@ -0,0 +1,78 @@
+package io.cardamomshelf.core.schedule;
+
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+/** When a scheduler is replaced, and when a silent worker's runs are over. */
+class TimersTest {
+
+    @Nested
+    class Election {
+
+        private final ElectionTimer timer = new ElectionTimer(2_000);
+
+        @Test
+        void waitsForTheSilence() {
+            timer.proven(1_000);
+            timer.heard(1_000);
+            timer.proven(2_000);
+            assertFalse(timer.mayStand(2_900));
+            timer.proven(3_000);
+            assertTrue(timer.mayStand(3_000));
+        }
+
+        @Test
+        void countsNoSilenceWhileTheOwnPathIsDown() {
+            timer.proven(1_000);
+            timer.heard(1_000);
+            assertFalse(timer.mayStand(9_000));
+            timer.proven(9_000);
+            assertFalse(timer.mayStand(9_100));
+            timer.proven(10_500);
+            assertFalse(timer.mayStand(10_900));
+            assertTrue(timer.mayStand(11_000));
+        }
+
+        @Test
+        void doesNotWaitForOneThatResigned() {
+            timer.proven(1_000);
+            timer.heard(1_000);
+            timer.resigned();
+            assertTrue(timer.mayStand(1_001));
+            timer.heard(1_100);
+            assertFalse(timer.mayStand(1_101));
+        }
+    }
+
+    @Nested
+    class Leases {
+
+        @Test
+        void ofAnEarlierSchedulerAreWaitedFor() {
+            LeaseClock clock = new LeaseClock(5_000);
+            assertFalse(clock.isLapsed(4_999));
+            assertTrue(clock.isLapsed(5_000));
+        }
+
+        @Test
+        void areWaitedForWithAClockThatIsSlow() {
+            LeaseClock clock = new LeaseClock(0);
+            clock.observe(700_000, 1_000);
+            clock.leaseEnd(1_000, 5_000);
+            assertFalse(clock.isLapsed(1_000 + 5_100));
+            assertTrue(clock.isLapsed(1_000 + LeaseClock.worstCaseMillis(5_000)));
+        }
+
+        @Test
+        void endWithTheIncarnation() {
+            LeaseClock clock = new LeaseClock(0);
+            clock.observe(700_000, 1_000);
+            clock.leaseEnd(1_000, 5_000);
+            clock.reset();
+            assertTrue(clock.isLapsed(1_100));
+        }
+    }
+}
--- a/node/src/main/java/io/cardamomshelf/node/Node.java
+++ b/node/src/main/java/io/cardamomshelf/node/Node.java
@@ -66,6 +66,7 @@
     private static final long DRAIN_CHECK_MILLIS = 50;
 
     private final Vertx vertx;
+    private final Timers timers;
     private final NodeSettings settings;
     private final Clock clock;
     private final OperatorsView operators;
@@ -88,12 +89,13 @@
      */
     public Node(Vertx vertx, Adapter adapter, NodeSettings settings, Clock clock) {
         this.vertx = vertx;
+        this.timers = Timers.of(vertx);
         this.settings = settings;
         this.clock = clock;
         this.operators = new OperatorsView(adapter.decoder(), this::configured);
         this.scheduling =
                 new Scheduling(
-                        vertx,
+                        timers,
                         adapter.store(),
                         adapter.orders(),
                         new Views(adapter.decoder()),
@@ -163,9 +165,9 @@
         workersFollower.start();
         jobsFollower.start();
         scheduling.start();
-        vertx.setPeriodic(
+        timers.every(
                 PACE_CHECK_MILLIS,
-                id -> jobsFollower.setPace(scheduling.isLeading() ? JOBS_PACE_LEADING : JOBS_PACE));
+                () -> jobsFollower.setPace(scheduling.isLeading() ? JOBS_PACE_LEADING : JOBS_PACE));
     }
 
     private void drained(long startMillis, Runnable done) {
@@ -174,7 +176,7 @@
         if (idle || passed >= settings.bounds().graceMillis() - END_MARGIN_MILLIS) {
             done.run();
         } else {
-            vertx.setTimer(DRAIN_CHECK_MILLIS, id -> drained(startMillis, done));
+            timers.after(DRAIN_CHECK_MILLIS, () -> drained(startMillis, done));
         }
     }
 
@@ -188,7 +190,7 @@
 
     private StreamFollower follower(
             Adapter adapter, Stream stream, StreamFollower.Fold fold, Pace pace) {
-        return new StreamFollower(vertx, adapter.store(), stream, fold, clock, pace);
+        return new StreamFollower(timers, adapter.store(), stream, fold, clock, pace);
     }
 
     /** Makes the views that the scheduler listens to. */
--- a/node/src/main/java/io/cardamomshelf/node/ingress/CallerAppend.java
+++ b/node/src/main/java/io/cardamomshelf/node/ingress/CallerAppend.java
@@ -1,6 +1,7 @@
 package io.cardamomshelf.node.ingress;
 
 import io.cardamomshelf.node.Clock;
+import io.cardamomshelf.node.Timers;
 import io.cardamomshelf.node.event.EventLog;
 import io.cardamomshelf.node.event.NodeEvent;
 import io.cardamomshelf.node.port.AppendOutcome;
@@ -8,7 +9,6 @@
 import io.cardamomshelf.node.port.StoredRecord;
 import io.smallrye.mutiny.Uni;
 import io.smallrye.mutiny.subscription.UniEmitter;
-import io.vertx.mutiny.core.Vertx;
 import java.util.List;
 import java.util.Optional;
 
@@ -26,12 +26,12 @@
     /** The pause between attempts, in milliseconds. */
     private static final long RETRY_MILLIS = 150;
 
-    private final Vertx vertx;
+    private final Timers timers;
     private final KeyedStore store;
     private final Clock clock;
 
-    CallerAppend(Vertx vertx, KeyedStore store, Clock clock) {
-        this.vertx = vertx;
+    CallerAppend(Timers timers, KeyedStore store, Clock clock) {
+        this.timers = timers;
         this.store = store;
         this.clock = clock;
     }
@@ -74,7 +74,7 @@
             emitter.complete(outcome(mayBeStored));
             return;
         }
-        vertx.setTimer(RETRY_MILLIS, id -> attempt(record, untilMillis, mayBeStored, emitter));
+        timers.after(RETRY_MILLIS, () -> attempt(record, untilMillis, mayBeStored, emitter));
     }
 
     private static AppendOutcome outcome(boolean mayBeStored) {
--- a/node/src/main/java/io/cardamomshelf/node/ingress/CallersServer.java
+++ b/node/src/main/java/io/cardamomshelf/node/ingress/CallersServer.java
@@ -3,6 +3,7 @@
 import io.cardamomshelf.core.base.Endpoint;
 import io.cardamomshelf.core.base.OrganisationId;
 import io.cardamomshelf.node.Clock;
+import io.cardamomshelf.node.Timers;
 import io.cardamomshelf.node.event.EventLog;
 import io.cardamomshelf.node.event.NodeEvent;
 import io.cardamomshelf.node.port.CallersProtocol;
@@ -78,7 +79,7 @@
         this.operators = operators;
         this.clock = clock;
         this.freshness = new Freshness(bounds, configurationAgeMillis, jobsAgeMillis);
-        CallerAppend append = new CallerAppend(vertx, store, clock);
+        CallerAppend append = new CallerAppend(Timers.of(vertx), store, clock);
         this.desk = new JobDesk(protocol, jobs, append, freshness, clock);
     }
 
--- a/node/src/main/java/io/cardamomshelf/node/schedule/Reign.java
+++ b/node/src/main/java/io/cardamomshelf/node/schedule/Reign.java
@@ -10,6 +10,7 @@
 import io.cardamomshelf.core.task.JobProgress;
 import io.cardamomshelf.core.task.QueuePolicy;
 import io.cardamomshelf.node.Clock;
+import io.cardamomshelf.node.Timers;
 import io.cardamomshelf.node.event.EventLog;
 import io.cardamomshelf.node.event.NodeEvent;
 import io.cardamomshelf.node.port.Configuration;
@@ -20,7 +21,6 @@
 import io.cardamomshelf.node.store.OperatorsView;
 import io.cardamomshelf.node.store.SchedulerLog;
 import io.cardamomshelf.node.store.WorkersView;
-import io.vertx.mutiny.core.Vertx;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
@@ -40,14 +40,14 @@
     /**
      * What a reign works with.
      *
-     * @param vertx the event loop's owner
+     * @param timers the event loop's timers
      * @param clock the time
      * @param orders calls to workers
      * @param settings the scheduler's times
      * @param epoch the fencing token
      */
     record Parts(
-            Vertx vertx,
+            Timers timers,
             Clock clock,
             WorkerOrders orders,
             SchedulerSettings settings,
@@ -75,8 +75,6 @@
     private boolean roundDue;
     private boolean over;
     private boolean takingOver = true;
-    private long tickTimer;
-    private long cleaningTimer;
 
     Reign(
             Parts parts,
@@ -107,17 +105,14 @@
         }
         board.endInheritance();
         links.values().forEach(WorkerLink::kick);
-        tickTimer = parts.vertx().setPeriodic(TICK_MILLIS, id -> changed());
-        cleaningTimer = parts.vertx().setPeriodic(CLEANING_MILLIS, id -> clean());
-        changed();
+        tick();
+        cleanLater();
     }
 
     /** Ends all calls to workers but not the log, which takes a last record. */
     void retire() {
         over = true;
         links.values().forEach(WorkerLink::close);
-        parts.vertx().cancelTimer(tickTimer);
-        parts.vertx().cancelTimer(cleaningTimer);
     }
 
     void end() {
@@ -163,7 +158,7 @@
     public void changed() {
         if (!roundDue && !over) {
             roundDue = true;
-            parts.vertx().runOnContext(this::round);
+            parts.timers().after(0, this::round);
         }
     }
 
@@ -178,6 +173,25 @@
         }
     }
 
+    private void tick() {
+        if (!over) {
+            changed();
+            parts.timers().after(TICK_MILLIS, this::tick);
+        }
+    }
+
+    private void cleanLater() {
+        parts.timers()
+                .after(
+                        CLEANING_MILLIS,
+                        () -> {
+                            if (!over) {
+                                clean();
+                                cleanLater();
+                            }
+                        });
+    }
+
     private void configure(Configuration configuration) {
         Map<String, QueuePolicy> queues = new HashMap<>();
         configuration.routes().forEach(r -> queues.put(r.policy().name(), r.policy()));
--- a/node/src/main/java/io/cardamomshelf/node/schedule/SchedulerSettings.java
+++ b/node/src/main/java/io/cardamomshelf/node/schedule/SchedulerSettings.java
@@ -13,7 +13,7 @@
 record SchedulerSettings(long leaseMillis, long stateKeptMillis) {
 
     /** Long enough to outlast a change of scheduler, short enough to free a lost worker's tasks. */
-    private static final double LEASE_SHARE = 0.7;
+    private static final double LEASE_SHARE = 0.55;
 
     /** Jobs that are over stay a little longer than promised, in milliseconds. */
     private static final long KEPT_MARGIN_MILLIS = 30_000;
--- a/node/src/main/java/io/cardamomshelf/node/schedule/Scheduling.java
+++ b/node/src/main/java/io/cardamomshelf/node/schedule/Scheduling.java
@@ -4,6 +4,7 @@
 import io.cardamomshelf.core.schedule.ElectionTimer;
 import io.cardamomshelf.core.schedule.WorkerInfo;
 import io.cardamomshelf.node.Clock;
+import io.cardamomshelf.node.Timers;
 import io.cardamomshelf.node.event.EventLog;
 import io.cardamomshelf.node.event.NodeEvent;
 import io.cardamomshelf.node.port.AppendOutcome;
@@ -18,7 +19,6 @@
 import io.cardamomshelf.node.store.SchedulerLog;
 import io.cardamomshelf.node.store.WorkersView;
 import io.smallrye.mutiny.Uni;
-import io.vertx.mutiny.core.Vertx;
 import java.util.List;
 import java.util.Optional;
 import java.util.Random;
@@ -54,7 +54,7 @@
     /** First sequence numbers are drawn below this, so that two candidates' never follow on. */
     private static final int SEQUENCES = 1 << 30;
 
-    private final Vertx vertx;
+    private final Timers timers;
     private final KeyedStore store;
     private final WorkerOrders orders;
     private final Clock clock;
@@ -74,7 +74,7 @@
     /**
      * Creates a candidate.
      *
-     * @param vertx the event loop's owner, not null
+     * @param timers the event loop's timers, not null
      * @param store the store, not null
      * @param orders calls to workers, not null
      * @param views what was read of the store, not null
@@ -83,14 +83,14 @@
      * @param position up to where the jobs' records were read, not null
      */
     public Scheduling(
-            Vertx vertx,
+            Timers timers,
             KeyedStore store,
             WorkerOrders orders,
             Views views,
             Clock clock,
             NodeSettings settings,
             LongSupplier position) {
-        this.vertx = vertx;
+        this.timers = timers;
         this.store = store;
         this.orders = orders;
         this.clock = clock;
@@ -132,8 +132,8 @@
 
     /** Starts to watch for a scheduler. */
     public void start() {
-        vertx.setPeriodic(WATCH_MILLIS, id -> watch());
-        vertx.setPeriodic(HEARTBEAT_MILLIS, id -> beat());
+        timers.every(WATCH_MILLIS, () -> watch());
+        timers.every(HEARTBEAT_MILLIS, () -> beat());
     }
 
     /**
@@ -285,14 +285,14 @@
         Reign[] self = new Reign[1];
         SchedulerLog log =
                 new SchedulerLog(
-                        vertx,
+                        timers,
                         store,
                         writer.epoch(),
                         writer.sequence() + 1,
                         () -> deposed(self[0]));
         Reign.Parts parts =
                 new Reign.Parts(
-                        vertx,
+                        timers,
                         clock,
                         orders,
                         SchedulerSettings.of(settings.bounds()),
--- a/node/src/main/java/io/cardamomshelf/node/schedule/WorkerLink.java
+++ b/node/src/main/java/io/cardamomshelf/node/schedule/WorkerLink.java
@@ -6,11 +6,11 @@
 import io.cardamomshelf.core.schedule.WorkerInfo;
 import io.cardamomshelf.core.schedule.WorkerLists;
 import io.cardamomshelf.node.Clock;
+import io.cardamomshelf.node.Timers;
 import io.cardamomshelf.node.event.EventLog;
 import io.cardamomshelf.node.event.NodeEvent;
 import io.cardamomshelf.node.port.WorkerOrders;
 import io.cardamomshelf.node.port.WorkerOrders.Answer;
-import io.vertx.mutiny.core.Vertx;
 import java.util.OptionalLong;
 
 /**
@@ -52,7 +52,7 @@
     private static final int SILENT_AFTER = 2;
     private static final int START_ATTEMPTS = 2;
 
-    private final Vertx vertx;
+    private final Timers timers;
     private final WorkerOrders orders;
     private final Board board;
     private final Clock clock;
@@ -62,12 +62,14 @@
     private final LeaseClock lease;
     private WorkerInfo info;
     private long stored;
+    private long acknowledged;
     private int failures;
     private boolean holding;
+    private boolean pausing;
     private boolean closed;
 
     WorkerLink(Reign.Parts parts, Board board, Host host, WorkerInfo info, long inheritedMillis) {
-        this.vertx = parts.vertx();
+        this.timers = parts.timers();
         this.orders = parts.orders();
         this.clock = parts.clock();
         this.token = parts.epoch();
@@ -92,12 +94,13 @@
     /** Ends up to here are stored, so the worker may forget them. */
     void stored(long lastEnd) {
         stored = Math.max(stored, lastEnd);
+        pausing = false;
         kick();
     }
 
     /** Makes sure that a renewal is under way if the worker has anything to tell. */
     void kick() {
-        if (!holding && !closed && isWatched()) {
+        if (!holding && !pausing && !closed && isWatched()) {
             hold();
         }
     }
@@ -116,34 +119,43 @@
     }
 
     private boolean isWatched() {
-        return board.isWatched(info.id()) || stored < board.lastEnd(info.id()) || failures > 0;
+        return board.isWatched(info.id())
+                || stored < board.lastEnd(info.id())
+                || acknowledged < stored
+                || failures > 0;
     }
 
     private WorkerOrders.Target target() {
         return new WorkerOrders.Target(info.id(), info.endpoint());
     }
 
+    /** A worker that didn't answer gets no new lease, so that what it has runs out in time. */
     private void hold() {
         holding = true;
         long now = clock.steadyMillis();
         OptionalLong end =
-                lease.isKnown()
+                lease.isKnown() && failures == 0
                         ? OptionalLong.of(lease.leaseEnd(now, leaseMillis))
                         : OptionalLong.empty();
-        long wait = lease.isKnown() && failures == 0 ? WAIT_MILLIS : 0;
-        orders.hold(target(), end, stored, wait, token, wait + ANSWER_MILLIS)
+        boolean patient = end.isPresent() && board.isOccupied(info.id());
+        long wait = patient ? WAIT_MILLIS : 0;
+        long seen = stored;
+        orders.hold(target(), end, seen, wait, token, wait + ANSWER_MILLIS)
                 .subscribe()
-                .with(holdingAnswer -> held(holdingAnswer, now));
+                .with(answer -> held(answer, now, seen));
     }
 
-    private void held(WorkerOrders.Holding answer, long askedMillis) {
+    private void held(WorkerOrders.Holding answer, long askedMillis, long seen) {
         holding = false;
         if (closed) {
             return;
         }
         answer.clockMillis().ifPresent(this::observe);
         switch (answer.answer()) {
-            case DONE -> listed(answer, askedMillis);
+            case DONE -> {
+                acknowledged = Math.max(acknowledged, seen);
+                listed(answer, askedMillis);
+            }
             case FENCED -> host.fenced(info);
             default -> unanswered(answer);
         }
@@ -162,7 +174,7 @@
         board.report(info.id(), lists, askedMillis, answer.isWhole(), clock.now());
         host.changed();
         if (stored < board.lastEnd(info.id())) {
-            vertx.setTimer(UNSTORED_MILLIS, id -> kick());
+            pause(UNSTORED_MILLIS);
         } else {
             kick();
         }
@@ -198,12 +210,24 @@
             board.loseWorker(info.id());
             host.changed();
         }
-        vertx.setTimer(RETRY_MILLIS, id -> kick());
+        pause(RETRY_MILLIS);
+    }
+
+    /** A worker with ends to tell answers at once, so calls are spaced until they are stored. */
+    private void pause(long millis) {
+        pausing = true;
+        timers.after(
+                millis,
+                () -> {
+                    pausing = false;
+                    kick();
+                });
     }
 
     private void beginIncarnation() {
         lease.reset();
         stored = 0;
+        acknowledged = 0;
     }
 
     private void observe(long workerMillis) {
@@ -271,7 +295,7 @@
             case FENCED -> host.fenced(info);
             case UNKNOWN -> {
                 if (board.isOccupied(info.id())) {
-                    vertx.setTimer(RETRY_MILLIS, id -> stop(stop));
+                    timers.after(RETRY_MILLIS, () -> stop(stop));
                 }
             }
             default -> {
--- a/node/src/main/java/io/cardamomshelf/node/store/SchedulerLog.java
+++ b/node/src/main/java/io/cardamomshelf/node/store/SchedulerLog.java
@@ -1,12 +1,12 @@
 package io.cardamomshelf.node.store;
 
+import io.cardamomshelf.node.Timers;
 import io.cardamomshelf.node.event.EventLog;
 import io.cardamomshelf.node.event.NodeEvent;
 import io.cardamomshelf.node.port.AppendOutcome;
 import io.cardamomshelf.node.port.KeyedStore;
 import io.cardamomshelf.node.port.KeyedStore.Writer;
 import io.cardamomshelf.node.port.StoredRecord;
-import io.vertx.mutiny.core.Vertx;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
@@ -27,7 +27,7 @@
     /** The pause before an append is repeated, in milliseconds. */
     private static final long RETRY_MILLIS = 150;
 
-    private final Vertx vertx;
+    private final Timers timers;
     private final KeyedStore store;
     private final long epoch;
     private final Runnable deposed;
@@ -40,15 +40,15 @@
     /**
      * Creates a log.
      *
-     * @param vertx the event loop's owner, not null
+     * @param timers the event loop's timers, not null
      * @param store the store, not null
      * @param epoch the scheduler's epoch
      * @param firstSequence the number of its first append
      * @param deposed called once if another scheduler has taken over, not null
      */
     public SchedulerLog(
-            Vertx vertx, KeyedStore store, long epoch, long firstSequence, Runnable deposed) {
-        this.vertx = vertx;
+            Timers timers, KeyedStore store, long epoch, long firstSequence, Runnable deposed) {
+        this.timers = timers;
         this.store = store;
         this.epoch = epoch;
         this.sequence = firstSequence;
@@ -131,7 +131,7 @@
                     .with("sequence", sequence)
                     .with("outcome", outcome)
                     .write();
-            vertx.setTimer(RETRY_MILLIS, id -> send(records, callbacks));
+            timers.after(RETRY_MILLIS, () -> send(records, callbacks));
         }
     }
 }
--- a/node/src/main/java/io/cardamomshelf/node/store/StreamFollower.java
+++ b/node/src/main/java/io/cardamomshelf/node/store/StreamFollower.java
@@ -1,6 +1,7 @@
 package io.cardamomshelf.node.store;
 
 import io.cardamomshelf.node.Clock;
+import io.cardamomshelf.node.Timers;
 import io.cardamomshelf.node.event.EventLog;
 import io.cardamomshelf.node.event.NodeEvent;
 import io.cardamomshelf.node.port.ExpiredException;
@@ -9,7 +10,6 @@
 import io.cardamomshelf.node.port.KeyedStore.Tail;
 import io.cardamomshelf.node.port.StoredRecord;
 import io.smallrye.mutiny.Uni;
-import io.vertx.mutiny.core.Vertx;
 import java.util.ArrayList;
 import java.util.List;
 
@@ -59,7 +59,7 @@
 
     private static final long NEVER = Long.MIN_VALUE / 2;
 
-    private final Vertx vertx;
+    private final Timers timers;
     private final KeyedStore store;
     private final KeyedStore.Stream stream;
     private final Fold fold;
@@ -74,7 +74,7 @@
     /**
      * Creates a follower.
      *
-     * @param vertx the event loop's owner, not null
+     * @param timers the event loop's timers, not null
      * @param store the store, not null
      * @param stream which stream, not null
      * @param fold what takes the records, not null
@@ -82,13 +82,13 @@
      * @param pace how often to read, not null
      */
     public StreamFollower(
-            Vertx vertx,
+            Timers timers,
             KeyedStore store,
             KeyedStore.Stream stream,
             Fold fold,
             Clock clock,
             Pace pace) {
-        this.vertx = vertx;
+        this.timers = timers;
         this.store = store;
         this.stream = stream;
         this.fold = fold;
@@ -231,7 +231,7 @@
         if (millis <= 0) {
             then.run();
         } else {
-            vertx.setTimer(millis, id -> then.run());
+            timers.after(millis, () -> then.run());
         }
     }
 }
--- /dev/null
+++ b/node/src/test/java/io/cardamomshelf/node/VirtualTime.java
@@ -0,0 +1,37 @@
+package io.cardamomshelf.node;
+
+import io.cardamomshelf.core.schedule.Moment;
+import java.util.Comparator;
+import java.util.PriorityQueue;
+
+/** A clock and timers that move only when a test lets time pass. */
+public final class VirtualTime implements Clock, Timers {
+
+    private record Task(long atMillis, long order, Runnable task) {}
+
+    private final PriorityQueue<Task> tasks =
+            new PriorityQueue<>(
+                    Comparator.comparingLong(Task::atMillis).thenComparingLong(Task::order));
+    private long nowMillis = 1_000_000;
+    private long order;
+
+    @Override
+    public Moment now() {
+        return new Moment(nowMillis, nowMillis);
+    }
+
+    @Override
+    public void after(long millis, Runnable task) {
+        tasks.add(new Task(nowMillis + Math.max(0, millis), order++, task));
+    }
+
+    public void pass(long millis) {
+        long until = nowMillis + millis;
+        while (!tasks.isEmpty() && tasks.peek().atMillis() <= until) {
+            Task next = tasks.poll();
+            nowMillis = next.atMillis();
+            next.task().run();
+        }
+        nowMillis = until;
+    }
+}
