--- a/core/src/main/java/io/cardamomshelf/core/schedule/ElectionTimer.java
+++ b/core/src/main/java/io/cardamomshelf/core/schedule/ElectionTimer.java
@@ -17,6 +17,9 @@
     /** A path without proof for longer than this says nothing of others, in milliseconds. */
     private static final long MAX_GAP_MILLIS = 1_600;
 
+    /** Reads end about once a second; one that hangs for longer may hide signs, in milliseconds. */
+    private static final long MAX_HANGING_MILLIS = 1_250;
+
     private static final long NEVER = Long.MIN_VALUE / 2;
 
     private final long silenceMillis;
@@ -68,7 +71,7 @@
      * @return true if there is no scheduler, as far as a working path tells
      */
     public boolean mayStand(long nowMillis) {
-        if (nowMillis - provenMillis > MAX_GAP_MILLIS) {
+        if (nowMillis - provenMillis > MAX_HANGING_MILLIS) {
             return false;
         }
         return vacant || nowMillis - heardMillis >= silenceMillis;
--- a/core/src/main/java/io/cardamomshelf/core/schedule/Placer.java
+++ b/core/src/main/java/io/cardamomshelf/core/schedule/Placer.java
@@ -1,8 +1,8 @@
 package io.cardamomshelf.core.schedule;
 
 import io.cardamomshelf.core.task.Resources;
-import io.cardamomshelf.core.task.StepSpec;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
@@ -40,44 +40,47 @@
         this.now = now;
     }
 
-    /** Chooses a worker for each of {@code count} tasks of a gang, or none. */
-    Optional<List<WorkerState>> gang(TaskGroup group, int count, String service, int priority) {
+    /**
+     * Chooses a worker for each task in the rack that the group wants; anywhere if it wants none.
+     */
+    Optional<List<WorkerState>> wanted(TaskGroup group, int count, String service) {
         List<WorkerState> all = room.candidates(group, service);
-        StepSpec spec = group.spec();
-        if (!spec.rackLocal() && spec.dataRack().isEmpty()) {
+        if (!wantsRack(group)) {
             return pack(all, group, count);
         }
-        Map<String, List<WorkerState>> racks = byRack(all);
-        if (!spec.dataRack().isEmpty()) {
-            List<WorkerState> near = racks.getOrDefault(spec.dataRack(), List.of());
-            Optional<List<WorkerState>> place = pack(near, group, count);
-            if (place.isPresent() || isWorthWaiting(near, group, count, priority)) {
-                return place;
-            }
-        }
-        if (spec.rackLocal()) {
-            Optional<List<WorkerState>> place = tightestRack(racks, group, count);
-            if (place.isPresent()
-                    || racks.values().stream()
-                            .anyMatch(rack -> isWorthWaiting(rack, group, count, priority))) {
-                return place;
-            }
-        }
-        return pack(all, group, count);
+        return wantedRacks(all, group).stream()
+                .map(rack -> new Packed(rack, pack(rack, group, count)))
+                .filter(packed -> packed.places().isPresent())
+                .min(Comparator.comparingInt(this::freeAccelerators))
+                .flatMap(Packed::places);
     }
 
-    /** Chooses a worker for one task. */
-    Optional<WorkerState> single(TaskGroup group, String service, int priority) {
-        List<WorkerState> all = room.candidates(group, service);
+    /** Chooses a worker for each task, wherever there is room. */
+    Optional<List<WorkerState>> anywhere(TaskGroup group, int count, String service) {
+        return pack(room.candidates(group, service), group, count);
+    }
+
+    /** Whether a wanted rack could take the tasks once it is free, and soon enough. */
+    boolean isWorthWaiting(TaskGroup group, int count, String service, int priority) {
+        long waited = now.wallMillis() - group.readyMillis();
+        return wantsRack(group)
+                && waited < patienceMillis(group, priority)
+                && wantedRacks(room.candidates(group, service), group).stream()
+                        .anyMatch(rack -> couldTake(rack, group, count));
+    }
+
+    static boolean wantsRack(TaskGroup group) {
+        return !group.spec().dataRack().isEmpty()
+                || group.spec().gang() && group.spec().rackLocal();
+    }
+
+    /** The racks in which the group isn't slowed down: that of its data, else each by itself. */
+    static Collection<List<WorkerState>> wantedRacks(List<WorkerState> workers, TaskGroup group) {
+        Map<String, List<WorkerState>> racks = byRack(workers);
         String dataRack = group.spec().dataRack();
-        if (!dataRack.isEmpty()) {
-            List<WorkerState> near = byRack(all).getOrDefault(dataRack, List.of());
-            Optional<WorkerState> place = tightest(near, group, Map.of());
-            if (place.isPresent() || isWorthWaiting(near, group, 1, priority)) {
-                return place;
-            }
-        }
-        return tightest(all, group, Map.of());
+        return dataRack.isEmpty()
+                ? racks.values()
+                : List.of(racks.getOrDefault(dataRack, List.of()));
     }
 
     static Map<String, List<WorkerState>> byRack(List<WorkerState> workers) {
@@ -87,15 +90,6 @@
                                 worker -> worker.info().rack(), TreeMap::new, Collectors.toList()));
     }
 
-    private Optional<List<WorkerState>> tightestRack(
-            Map<String, List<WorkerState>> racks, TaskGroup group, int count) {
-        return racks.values().stream()
-                .map(rack -> new Packed(rack, pack(rack, group, count)))
-                .filter(packed -> packed.places().isPresent())
-                .min(Comparator.comparingInt(this::freeAccelerators))
-                .flatMap(Packed::places);
-    }
-
     private record Packed(List<WorkerState> rack, Optional<List<WorkerState>> places) {}
 
     private int freeAccelerators(Packed packed) {
@@ -170,18 +164,11 @@
         return whole == 0 ? 0 : (double) amount / whole;
     }
 
-    /** Whether these workers could take the tasks once they are free, and soon enough. */
-    private boolean isWorthWaiting(
-            List<WorkerState> workers, TaskGroup group, int count, int priority) {
-        long waited = now.wallMillis() - group.readyMillis();
-        if (waited >= patienceMillis(group, priority)) {
-            return false;
-        }
-        int copies =
-                workers.stream()
+    private static boolean couldTake(List<WorkerState> rack, TaskGroup group, int count) {
+        return rack.stream()
                         .mapToInt(worker -> copies(worker, group, worker.info().capacity()))
-                        .sum();
-        return copies >= count;
+                        .sum()
+                >= count;
     }
 
     private static long patienceMillis(TaskGroup group, int priority) {
--- a/core/src/main/java/io/cardamomshelf/core/schedule/Preemption.java
+++ b/core/src/main/java/io/cardamomshelf/core/schedule/Preemption.java
@@ -40,27 +40,21 @@
         this.priorityOf = priorityOf;
     }
 
-    /** Plans room for {@code count} tasks, in one rack if they want that and one can do it. */
-    Optional<Plan> plan(TaskGroup group, int count, String service) {
-        List<WorkerState> all = room.candidates(group, service);
-        Map<String, List<WorkerState>> racks = Placer.byRack(all);
-        String dataRack = group.spec().dataRack();
-        if (!dataRack.isEmpty()) {
-            Optional<Plan> near = plan(racks.getOrDefault(dataRack, List.of()), group, count);
-            if (near.isPresent()) {
-                return near;
-            }
-        }
-        if (group.spec().rackLocal()) {
-            Optional<Plan> rack =
-                    racks.values().stream()
-                            .flatMap(workers -> plan(workers, group, count).stream())
-                            .min(Comparator.comparingLong(this::cost));
-            if (rack.isPresent()) {
-                return rack;
-            }
-        }
-        return plan(all, group, count);
+    /** Plans room in a rack that the group wants, the one where the least work is lost. */
+    Optional<Plan> wanted(TaskGroup group, int count, String service) {
+        return Placer.wantedRacks(room.candidates(group, service), group).stream()
+                .flatMap(rack -> plan(rack, group, count).stream())
+                .min(Comparator.comparingLong(this::lostWork));
+    }
+
+    /** Plans room wherever the least work is lost. */
+    Optional<Plan> anywhere(TaskGroup group, int count, String service) {
+        return plan(room.candidates(group, service), group, count);
+    }
+
+    /** The work that a plan throws away, in core-milliseconds. */
+    long lostWork(Plan plan) {
+        return plan.victims().stream().mapToLong(this::lostWork).sum();
     }
 
     private Optional<Plan> plan(List<WorkerState> workers, TaskGroup group, int count) {
@@ -121,10 +115,6 @@
                 && priorityOf.applyAsInt(run) > priority;
     }
 
-    private long cost(Plan plan) {
-        return plan.victims().stream().mapToLong(this::lostWork).sum();
-    }
-
     /** A gang goes whole, so each of its members costs what all lose. */
     private long lostWork(Run run) {
         if (!run.group.spec().gang()) {
--- a/core/src/main/java/io/cardamomshelf/core/schedule/Round.java
+++ b/core/src/main/java/io/cardamomshelf/core/schedule/Round.java
@@ -20,6 +20,9 @@
  */
 final class Round {
 
+    /** How often its time work takes outside the rack that it wants; the platform's promise. */
+    private static final long DETOUR_FACTOR = 3;
+
     private final Board board;
     private final Moment now;
     private final RoomBook room;
@@ -74,55 +77,82 @@
             return;
         }
         if (group.spec().gang()) {
-            placeGang(group, waiting);
+            place(group, waiting);
         } else {
             placeSingles(group, waiting);
         }
     }
 
-    private void placeGang(TaskGroup group, List<Integer> waiting) {
-        QueuePolicy policy = policy(group);
-        Optional<List<WorkerState>> place =
-                placer.gang(group, waiting.size(), policy.service(), policy.priority());
-        if (place.isPresent()) {
-            long run = board.nextRun();
-            for (int i = 0; i < waiting.size(); i++) {
-                start(group, waiting.get(i), place.get().get(i), run);
+    private void placeSingles(TaskGroup group, List<Integer> waiting) {
+        for (int index : waiting) {
+            if (!place(group, List.of(index))) {
+                break;
             }
-        } else if (isUrgent(group)) {
-            reclaim(group, waiting.size());
         }
     }
 
-    private void placeSingles(TaskGroup group, List<Integer> waiting) {
+    /**
+     * Places tasks that start together: where they want to be, else, if urgent, there by stops that
+     * cost less than the detour, else anywhere once waiting doesn't pay any more.
+     */
+    private boolean place(TaskGroup group, List<Integer> waiting) {
         QueuePolicy policy = policy(group);
-        int left = waiting.size();
-        for (int index : waiting) {
-            Optional<WorkerState> place = placer.single(group, policy.service(), policy.priority());
-            if (place.isEmpty()) {
-                break;
-            }
-            start(group, index, place.get(), board.nextRun());
-            left--;
+        int count = waiting.size();
+        Optional<List<WorkerState>> place = placer.wanted(group, count, policy.service());
+        if (place.isEmpty() && isUrgent(group) && reclaimWanted(group, count)) {
+            return false;
+        }
+        boolean waits =
+                place.isEmpty()
+                        && placer.isWorthWaiting(group, count, policy.service(), policy.priority());
+        if (place.isEmpty() && !waits && Placer.wantsRack(group)) {
+            place = placer.anywhere(group, count, policy.service());
         }
-        if (left > 0 && isUrgent(group)) {
-            reclaim(group, left);
+        if (place.isPresent()) {
+            start(group, waiting, place.get());
+            return true;
+        }
+        if (isUrgent(group) && !waits) {
+            preemption(group)
+                    .anywhere(group, count, policy.service())
+                    .ifPresent(plan -> reclaim(group, plan));
         }
+        return false;
     }
 
-    private void reclaim(TaskGroup group, int count) {
-        Preemption preemption =
-                new Preemption(
-                        room,
-                        now,
-                        policy(group).priority(),
-                        run -> board.policy(run.group.owner()).priority());
-        Optional<Preemption.Plan> plan = preemption.plan(group, count, policy(group).service());
-        if (plan.isEmpty()) {
-            return;
+    /** Stops less urgent work in a wanted rack if that loses less than running elsewhere would. */
+    private boolean reclaimWanted(TaskGroup group, int count) {
+        if (!Placer.wantsRack(group)) {
+            return false;
         }
-        plan.get().hosts().forEach(host -> room.hold(host, group.spec().allocation()));
-        for (Run victim : plan.get().victims()) {
+        Preemption preemption = preemption(group);
+        Optional<Preemption.Plan> plan = preemption.wanted(group, count, policy(group).service());
+        if (plan.isEmpty() || preemption.lostWork(plan.get()) > detourWork(group, count)) {
+            return false;
+        }
+        reclaim(group, plan.get());
+        return true;
+    }
+
+    /** What the tasks would take more, in core-milliseconds, outside the rack that they want. */
+    private static long detourWork(TaskGroup group, int count) {
+        return (DETOUR_FACTOR - 1)
+                * group.spec().estimateMillis()
+                * Run.cores(group.spec())
+                * count;
+    }
+
+    private Preemption preemption(TaskGroup group) {
+        return new Preemption(
+                room,
+                now,
+                policy(group).priority(),
+                run -> board.policy(run.group.owner()).priority());
+    }
+
+    private void reclaim(TaskGroup group, Preemption.Plan plan) {
+        plan.hosts().forEach(host -> room.hold(host, group.spec().allocation()));
+        for (Run victim : plan.victims()) {
             for (Run run : wholeGang(victim)) {
                 board.stop(run, Order.StopReason.RECLAIMED, now).ifPresent(orders::add);
             }
@@ -133,8 +163,11 @@
         return run.group.spec().gang() ? run.group.runs() : List.of(run);
     }
 
-    private void start(TaskGroup group, int index, WorkerState worker, long run) {
-        orders.add(board.start(group, index, worker, run, now));
+    private void start(TaskGroup group, List<Integer> tasks, List<WorkerState> hosts) {
+        long run = board.nextRun();
+        for (int i = 0; i < tasks.size(); i++) {
+            orders.add(board.start(group, tasks.get(i), hosts.get(i), run, now));
+        }
     }
 
     private boolean isUrgent(TaskGroup group) {
--- a/core/src/main/java/io/cardamomshelf/core/schedule/Run.java
+++ b/core/src/main/java/io/cardamomshelf/core/schedule/Run.java
@@ -1,5 +1,6 @@
 package io.cardamomshelf.core.schedule;
 
+import io.cardamomshelf.core.task.StepSpec;
 import io.cardamomshelf.core.task.TaskId;
 
 /** One run of a task on a worker, from its order until its end is known. */
@@ -20,6 +21,7 @@
     /** How many cores an accelerator counts as when lost work is compared. */
     private static final long ACCELERATOR_CORES = 8;
 
+    private static final long MILLIS = 1_000;
     private static final long UNKNOWN = Long.MIN_VALUE;
 
     final TaskId task;
@@ -58,8 +60,12 @@
         if (isLeaving() || group.spec().checkpointing()) {
             return 0;
         }
-        long cores = group.spec().demand().cpuMillis() / 1_000;
-        long weighted = cores + ACCELERATOR_CORES * group.spec().demand().accelerators();
-        return weighted * Math.max(0, nowMillis - orderedMillis);
+        return cores(group.spec()) * Math.max(0, nowMillis - orderedMillis);
+    }
+
+    /** The cores that a task takes, with its accelerators counted as cores. */
+    static long cores(StepSpec spec) {
+        return spec.demand().cpuMillis() / MILLIS
+                + ACCELERATOR_CORES * spec.demand().accelerators();
     }
 }
--- a/core/src/test/java/io/cardamomshelf/core/schedule/BoardTest.java
+++ b/core/src/test/java/io/cardamomshelf/core/schedule/BoardTest.java
@@ -367,5 +367,36 @@
             scene.end(young, RunEnd.STOPPED);
             assertEquals(Scene.job(3), scene.starts().get(0).task().job());
         }
+
+        private void fillRack(String rack, int firstJob) {
+            scene.openWorker(rack + "w1", rack).openWorker(rack + "w2", rack);
+            scene.submit(firstJob, 1, step(1, 52_000, 270_000, 8).near(rack));
+            scene.submit(firstJob + 1, 1, step(1, 52_000, 270_000, 8).near(rack));
+            assertEquals(2, scene.startAll().size());
+        }
+
+        @Test
+        void makesRoomInOneRackRatherThanRunSlowlyInTwo() {
+            scene.board.endInheritance();
+            fillRack("r1-1", 1);
+            scene.openWorker("x", "r1-2").openWorker("y", "r1-3");
+            scene.pass(1_000).submit(9, 0, step(2, 15_000, 79_000, 8).gang().rackLocal());
+            List<Order> orders = scene.decide();
+            assertEquals(List.of(), Scene.of(Order.Start.class, orders));
+            assertEquals(2, Scene.of(Order.Stop.class, orders).size());
+        }
+
+        @Test
+        void runsInTwoRacksWhereMakingRoomWouldLoseMoreWork() {
+            scene.board.endInheritance();
+            fillRack("r1-1", 1);
+            scene.openWorker("x", "r1-2").openWorker("y", "r1-3");
+            scene.pass(60_000).submit(9, 0, step(2, 15_000, 79_000, 8).gang().rackLocal());
+            scene.decide();
+            scene.pass(1_000);
+            List<Order> orders = scene.decide();
+            assertEquals(List.of(), Scene.of(Order.Stop.class, orders));
+            assertEquals(2, Scene.of(Order.Start.class, orders).size());
+        }
     }
 }
--- a/core/src/test/java/io/cardamomshelf/core/schedule/TimersTest.java
+++ b/core/src/test/java/io/cardamomshelf/core/schedule/TimersTest.java
@@ -24,6 +24,14 @@
             assertTrue(timer.mayStand(3_000));
         }
 
+        @Test
+        void doesNotStandWhileAReadHangs() {
+            timer.proven(1_000);
+            timer.heard(1_000);
+            timer.proven(2_000);
+            assertFalse(timer.mayStand(3_300));
+        }
+
         @Test
         void countsNoSilenceWhileTheOwnPathIsDown() {
             timer.proven(1_000);
--- a/node/src/main/java/io/cardamomshelf/node/event/NodeEvent.java
+++ b/node/src/main/java/io/cardamomshelf/node/event/NodeEvent.java
@@ -48,6 +48,8 @@
     TAKEOVER_COMPLETE(3006, "Every worker's runs are known after a change of scheduler."),
     /** A call was refused. */
     CALL_REFUSED(4001, "A call got no success; the line says why."),
+    /** An answer wasn't delivered. */
+    ANSWER_UNDELIVERED(4002, "The caller's connection ended before its answer was written."),
     /** A job was accepted. */
     JOB_ACCEPTED(5001, "A job is stored and its caller was told."),
     /** A cancellation was accepted. */
--- a/node/src/main/java/io/cardamomshelf/node/ingress/CallersServer.java
+++ b/node/src/main/java/io/cardamomshelf/node/ingress/CallersServer.java
@@ -219,7 +219,18 @@
         if (draining) {
             response.putHeader("Connection", "close");
         }
-        response.endAndForget(answer.body());
+        response.end(answer.body())
+                .subscribe()
+                .with(done -> {}, failure -> undelivered(request, answer, failure));
+    }
+
+    private static void undelivered(HttpServerRequest request, Answer answer, Throwable failure) {
+        EventLog.of(NodeEvent.ANSWER_UNDELIVERED)
+                .with("method", request.method())
+                .with("path", request.path())
+                .with("status", answer.status())
+                .with("cause", failure.getMessage())
+                .write();
     }
 
     private void failed(HttpServerRequest request, Throwable failure) {
--- a/node/src/main/java/io/cardamomshelf/node/ingress/Freshness.java
+++ b/node/src/main/java/io/cardamomshelf/node/ingress/Freshness.java
@@ -20,8 +20,11 @@
     /** A job must be known after its bound, so "unknown" needs a younger proof. */
     private static final double JOBS_SHARE = 0.7;
 
-    /** Readiness ends well before answers do, so that callers come to other machines. */
-    private static final double READY_SHARE = 0.6;
+    /**
+     * Reads that reach the end come about once a second, so without one for this long, in
+     * milliseconds, the path to the store is broken, and callers should go to other machines.
+     */
+    private static final long BROKEN_MILLIS = 2_000;
 
     private final NodeSettings.Bounds bounds;
     private final LongSupplier configurationAgeMillis;
@@ -45,9 +48,13 @@
         return jobsAgeMillis.getAsLong() < JOBS_SHARE * bounds.visibleMillis();
     }
 
+    /** Whether an append is likely to be answered in time. */
+    boolean isStoreReachable() {
+        return jobsAgeMillis.getAsLong() < BROKEN_MILLIS;
+    }
+
     boolean isReady() {
-        return configurationAgeMillis.getAsLong() < READY_SHARE * bounds.revokeMillis()
-                && jobsAgeMillis.getAsLong() < READY_SHARE * bounds.revokeMillis();
+        return isStoreReachable() && isConfigurationUsable();
     }
 
     long configurationAgeMillis() {
--- a/node/src/main/java/io/cardamomshelf/node/ingress/JobDesk.java
+++ b/node/src/main/java/io/cardamomshelf/node/ingress/JobDesk.java
@@ -55,6 +55,9 @@
                     ? refusal(Answer.FORBIDDEN, "the job belongs to another organisation")
                     : state(known.get());
         }
+        if (!freshness.isStoreReachable()) {
+            return refusal(Answer.UNAVAILABLE, "the store doesn't answer here");
+        }
         JobRequest request;
         try {
             request = protocol.request(call.body());
--- a/node/src/main/java/io/cardamomshelf/node/ingress/StatusServer.java
+++ b/node/src/main/java/io/cardamomshelf/node/ingress/StatusServer.java
@@ -42,11 +42,21 @@
                         request ->
                                 request.response()
                                         .setStatusCode(isReady() ? Answer.OK : Answer.UNAVAILABLE)
-                                        .endAndForget())
+                                        .end()
+                                        .subscribe()
+                                        .with(done -> {}, StatusServer::unheard))
                 .listen(endpoint.port(), endpoint.host())
                 .map(HttpServer::actualPort);
     }
 
+    /** The platform asks again each second, so a lost answer matters no further. */
+    private static void unheard(Throwable failure) {
+        EventLog.of(NodeEvent.ANSWER_UNDELIVERED)
+                .with("path", "readiness")
+                .with("cause", failure.getMessage())
+                .write();
+    }
+
     private boolean isReady() {
         boolean now = ready.getAsBoolean();
         if (now != lastReady) {
--- a/node/src/main/java/io/cardamomshelf/node/schedule/Scheduling.java
+++ b/node/src/main/java/io/cardamomshelf/node/schedule/Scheduling.java
@@ -40,11 +40,11 @@
     /** How often standing is considered, in milliseconds. */
     private static final long WATCH_MILLIS = 100;
 
-    /** How long the scheduler must be silent: four of its signs missed. */
-    private static final long SILENCE_MILLIS = 2_000;
+    /** How long the scheduler must be silent, in milliseconds: three of its signs missed. */
+    private static final long SILENCE_MILLIS = 1_500;
 
     /** Up to this much is added at random, so that candidates don't collide, in milliseconds. */
-    private static final int JITTER_MILLIS = 400;
+    private static final int JITTER_MILLIS = 300;
 
     /** How long an append of a candidate may take, in milliseconds. */
     private static final long STAND_MILLIS = 1_500;
@@ -65,6 +65,7 @@
     private final JobsView jobs;
     private final WorkersView workers;
     private final OperatorsView operators;
+    private JobRecords.Leader lastSeen;
     private boolean standing;
     private boolean stopped;
     private long electedAt = -1;
@@ -191,11 +192,13 @@
     @Override
     public void leaderSeen(JobRecords.Leader leader) {
         timer.heard(clock.steadyMillis());
-        if (leader.resigned()) {
+        boolean idle = reign == null && waiting == null && !standing;
+        if (leader.resigned() || idle && leader.holder().equals(settings.name())) {
+            // A record of this machine's that isn't of this process is of one that has ended.
             timer.resigned();
         }
-        boolean other = reign == null || leader.epoch() != reign.epoch();
-        if (other && !leader.holder().equals(settings.name())) {
+        if (!leader.equals(lastSeen)) {
+            lastSeen = leader;
             EventLog.of(NodeEvent.LEADER_SEEN)
                     .with("holder", leader.holder())
                     .with("epoch", leader.epoch())
