A gang whose members aren't all told yet is let run over a change of scheduler

Now it counts as broken only once every worker has told. The other members of a gang that is done aren't stopped either. Tests: BoardTest Takeover and Gangs.

--- a/core/src/main/java/io/cardamomshelf/core/schedule/Board.java
+++ b/core/src/main/java/io/cardamomshelf/core/schedule/Board.java
@@ -5,6 +5,7 @@
 import io.cardamomshelf.core.base.OrganisationId;
 import io.cardamomshelf.core.base.WorkerId;
 import io.cardamomshelf.core.task.JobProgress;
+import io.cardamomshelf.core.task.JobState;
 import io.cardamomshelf.core.task.QueuePolicy;
 import io.cardamomshelf.core.task.TaskJob;
 import java.util.ArrayList;
@@ -317,8 +318,9 @@
     }
 
     private void stopUnwanted(TaskGroup group, Moment now, List<Order> orders) {
-        boolean over = group.owner().isEnded();
-        boolean broken = group.isBroken();
+        JobState state = group.owner().state();
+        boolean over = state == JobState.CANCELLED || state == JobState.FAILED;
+        boolean broken = group.isBroken() && !isUncertain(group.owner());
         for (Run run : group.runs()) {
             if (over || broken || run.abort) {
                 stop(run, reason(group), now).ifPresent(orders::add);
--- a/core/src/test/java/io/cardamomshelf/core/schedule/BoardTest.java
+++ b/core/src/test/java/io/cardamomshelf/core/schedule/BoardTest.java
@@ -144,6 +144,15 @@
             assertEquals(JobState.COMPLETED, stored(1));
         }
 
+        @Test
+        void leaveTheOtherMembersOfAFinishedOneAlone() {
+            scene.board.endInheritance();
+            scene.openWorker("w1", "r1-1").openWorker("w2", "r1-1");
+            scene.submit(1, 1, step(2, 52_000, 270_000, 8).gang());
+            scene.end(scene.startAll().get(0), RunEnd.DONE);
+            assertEquals(List.of(), scene.decide());
+        }
+
         @Test
         void countOneFailureForAllMembers() {
             scene.board.endInheritance();
@@ -216,6 +225,38 @@
             assertEquals(JobState.COMPLETED, stored(1));
         }
 
+        @Test
+        void letsAGangRunWhoseOtherMembersAreNotTold() {
+            JobRequest request =
+                    new JobRequest(
+                            "x", List.of(step(2, 52_000, 270_000, 8).gang().build()), 0, 0, 0);
+            scene.board.putJob(
+                    new TaskJob(Scene.job(1), Scene.ORGANISATION, Scene.queue(1), 1, request),
+                    new JobProgress(JobState.RUNNING, List.of()));
+            scene.listWorker("w1", "r1-1").listWorker("w2", "r1-1").listWorker("w3", "r1-1");
+            scene.board.endInheritance();
+            scene.report("w1", running(task(1, 0), 77));
+            assertEquals(List.of(), scene.decide());
+            scene.report("w2", running(task(1, 1), 77));
+            assertEquals(List.of(), scene.decide());
+            scene.report("w3");
+            assertEquals(List.of(), scene.decide());
+        }
+
+        @Test
+        void stopsAGangOfWhichAMemberIsMissing() {
+            JobRequest request =
+                    new JobRequest(
+                            "x", List.of(step(2, 52_000, 270_000, 8).gang().build()), 0, 0, 0);
+            scene.board.putJob(
+                    new TaskJob(Scene.job(1), Scene.ORGANISATION, Scene.queue(1), 1, request),
+                    new JobProgress(JobState.RUNNING, List.of()));
+            scene.listWorker("w1", "r1-1").listWorker("w2", "r1-1");
+            scene.board.endInheritance();
+            scene.report("w1", running(task(1, 0), 77)).report("w2");
+            assertEquals(1, scene.stops().size());
+        }
+
         @Test
         void takesAWorkerThatIsLostForEmpty() {
             inherit(JobState.RUNNING);
--- a/node/src/main/java/io/cardamomshelf/node/ingress/CallersServer.java
+++ b/node/src/main/java/io/cardamomshelf/node/ingress/CallersServer.java
@@ -91,7 +91,10 @@
      */
     public Uni<Integer> listen(Endpoint endpoint) {
         HttpServerOptions options =
-                new HttpServerOptions().setIdleTimeout(IDLE_SECONDS).setTcpNoDelay(true);
+                new HttpServerOptions()
+                        .setIdleTimeout(IDLE_SECONDS)
+                        .setTcpNoDelay(true)
+                        .setHttp2ClearTextEnabled(false);
         server = vertx.createHttpServer(options).requestHandler(this::read);
         return server.listen(endpoint.port(), endpoint.host()).map(HttpServer::actualPort);
     }
--- a/sessions/src/main/java/io/cardamomshelf/sessions/Child.java
+++ b/sessions/src/main/java/io/cardamomshelf/sessions/Child.java
@@ -4,6 +4,7 @@
 import java.io.IOException;
 import java.io.InputStreamReader;
 import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -64,6 +65,51 @@
         }
     }
 
+    /**
+     * Starts a process that logs to its standard output, and waits until a word shows up there.
+     *
+     * @param output where its standard output goes, not null
+     * @param errors where its standard error goes, not null
+     * @param word what it logs once it is ready, not null
+     * @param mainClass the class to run, not null
+     * @param args its arguments, not null
+     * @return the process, never null
+     * @throws SessionException if it ends before it is ready, or isn't within a minute
+     */
+    public static Child startLogging(
+            Path output, Path errors, String word, Class<?> mainClass, String... args)
+            throws SessionException {
+        try {
+            Process process =
+                    new ProcessBuilder(command(mainClass, args))
+                            .redirectOutput(ProcessBuilder.Redirect.appendTo(output.toFile()))
+                            .redirectError(errors.toFile())
+                            .start();
+            long before = Files.exists(output) ? Files.size(output) : 0;
+            Child child = new Child(process, Map.of());
+            Wait.until(
+                    mainClass.getSimpleName() + " is ready",
+                    () -> !process.isAlive() || child.hasLogged(output, before, word));
+            if (!process.isAlive()) {
+                throw new SessionException(mainClass.getSimpleName() + " ended, see " + errors);
+            }
+            return child;
+        } catch (IOException e) {
+            throw new SessionException(mainClass.getSimpleName() + " can't start: " + e);
+        }
+    }
+
+    private boolean hasLogged(Path output, long from, String word) throws SessionException {
+        try {
+            byte[] all = Files.readAllBytes(output);
+            int start = (int) Math.min(from, all.length);
+            return new String(all, start, all.length - start, StandardCharsets.UTF_8)
+                    .contains(word);
+        } catch (IOException e) {
+            throw new SessionException("can't read " + output + ": " + e);
+        }
+    }
+
     /**
      * Returns the command line that runs a class in a process of its own.
      *
--- a/sessions/src/main/java/io/cardamomshelf/sessions/Demo.java
+++ b/sessions/src/main/java/io/cardamomshelf/sessions/Demo.java
@@ -12,6 +12,7 @@
  */
 public final class Demo {
 
+    private static final int PLATFORM_WORKERS = 4;
     private static final int FAILED = 1;
 
     private Demo() {}
@@ -43,5 +44,8 @@
         if (deployment.alive() > 0) {
             throw new SessionException(deployment.alive() + " processes are left");
         }
+        try (PlatformDeployment platform = PlatformDeployment.start(folder, PLATFORM_WORKERS)) {
+            new PlatformSession(platform, out::println).run();
+        }
     }
 }
--- a/sessions/src/test/java/io/cardamomshelf/sessions/ArchitectureTest.java
+++ b/sessions/src/test/java/io/cardamomshelf/sessions/ArchitectureTest.java
@@ -18,7 +18,16 @@
 
     private static final String ROOT = "io.cardamomshelf.";
     private static final List<String> MODULES =
-            List.of("core", "wire", "client", "entry", "cli", "standin", "sessions");
+            List.of(
+                    "core",
+                    "wire",
+                    "client",
+                    "node",
+                    "platform",
+                    "entry",
+                    "cli",
+                    "standin",
+                    "sessions");
     private static final JavaClasses CLASSES =
             new ClassFileImporter()
                     .withImportOption(new ImportOption.DoNotIncludeTests())
@@ -73,6 +82,8 @@
         "core, ''",
         "wire, core",
         "client, core",
+        "node, core",
+        "platform, core node",
         "entry, core wire client",
         "cli, core client",
         "standin, core client"
--- /dev/null
+++ b/sessions/src/test/java/io/cardamomshelf/sessions/PlatformSessionTest.java
@@ -0,0 +1,162 @@
+package io.cardamomshelf.sessions;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.file.Path;
+import org.approvaltests.Approvals;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** The service on the platform's stand-ins, as separate processes. */
+class PlatformSessionTest {
+
+    private static final String JOB = "00000000000000b1";
+
+    private static String body(String spec, int count) {
+        return "{\"spec\":\""
+                + spec
+                + "\",\"phases\":[{\"count\":"
+                + count
+                + ",\"cpu\":1000,\"mem_mb\":1000,\"gpus\":1}]}";
+    }
+
+    private static void startTwo(PlatformDeployment deployment) throws SessionException {
+        deployment.configure(1, PlatformDeployment.KEY);
+        deployment.node("n1");
+        deployment.node("n2");
+        Wait.until("ready", () -> deployment.isReady("n1") && deployment.isReady("n2"));
+        Wait.until("a scheduler", () -> deployment.leader().isPresent());
+    }
+
+    private static String other(String name) {
+        return name.equals("n1") ? "n2" : "n1";
+    }
+
+    private static void awaitState(PlatformDeployment deployment, String machine, String state)
+            throws SessionException {
+        Wait.until(state, () -> deployment.call(machine, "GET", JOB, null).body().contains(state));
+    }
+
+    @Nested
+    class WholeSession {
+
+        @Test
+        void isAsApproved(@TempDir Path folder) throws SessionException {
+            StringBuilder transcript = new StringBuilder();
+            try (PlatformDeployment deployment = PlatformDeployment.start(folder, 4)) {
+                new PlatformSession(deployment, line -> transcript.append(line).append('\n')).run();
+            }
+            Approvals.verify(transcript);
+        }
+    }
+
+    @Nested
+    class Failures {
+
+        @Test
+        void aFrozenSchedulerIsReplacedAndDoesNoHarmWhenItWakes(@TempDir Path folder)
+                throws SessionException {
+            try (PlatformDeployment deployment = PlatformDeployment.start(folder, 4)) {
+                startTwo(deployment);
+                String first = deployment.leader().orElseThrow();
+                String second = other(first);
+                deployment.call(second, "POST", JOB, body("ms=6000", 4));
+                Wait.until("runs", () -> deployment.count("starts") == 4);
+                deployment.process(first).signal("STOP");
+                Wait.until("takeover", () -> deployment.leader().orElseThrow().equals(second));
+                deployment.process(first).signal("CONT");
+                awaitState(deployment, second, "completed");
+                awaitState(deployment, first, "completed");
+                assertEquals(4, deployment.count("starts"));
+                assertEquals(0, deployment.count("overlaps"));
+            }
+        }
+
+        @Test
+        void aStoreThatDoesntAnswerMakesRefusalsThatAreTrue(@TempDir Path folder)
+                throws SessionException {
+            try (PlatformDeployment deployment = PlatformDeployment.start(folder, 2)) {
+                startTwo(deployment);
+                deployment.trouble("refusing");
+                Deployment.Reply refused = deployment.call("n1", "POST", JOB, body("ms=10", 1));
+                assertEquals(503, refused.status());
+                Wait.until("not ready", () -> !deployment.isReady("n1"));
+                deployment.trouble("none");
+                Wait.until("ready again", () -> deployment.isReady("n1"));
+                assertEquals(410, deployment.call("n1", "GET", JOB, null).status());
+                assertEquals(0, deployment.count("starts"));
+            }
+        }
+
+        @Test
+        void anAppendWhoseAnswerIsLostIsToldAsUnknownAndRunsOnce(@TempDir Path folder)
+                throws SessionException {
+            try (PlatformDeployment deployment = PlatformDeployment.start(folder, 2)) {
+                startTwo(deployment);
+                deployment.trouble("losing");
+                int status = deployment.call("n1", "POST", JOB, body("ms=10", 1)).status();
+                deployment.trouble("none");
+                assertEquals(504, status);
+                assertEquals(200, deployment.call("n2", "POST", JOB, body("ms=10", 1)).status());
+                awaitState(deployment, "n2", "completed");
+                assertEquals(1, deployment.count("starts"));
+            }
+        }
+
+        @Test
+        void anExpiredHistoryIsReadAnew(@TempDir Path folder) throws SessionException {
+            try (PlatformDeployment deployment = PlatformDeployment.start(folder, 2)) {
+                startTwo(deployment);
+                deployment.call("n1", "POST", JOB, body("ms=10", 1));
+                awaitState(deployment, "n1", "completed");
+                deployment.trouble("expire");
+                String second = other(deployment.leader().orElseThrow());
+                deployment.process(second).kill();
+                deployment.node(second);
+                awaitState(deployment, second, "completed");
+                assertEquals(1, deployment.count("starts"));
+            }
+        }
+
+        @Test
+        void aRevokedKeyIsRefused(@TempDir Path folder) throws SessionException {
+            try (PlatformDeployment deployment = PlatformDeployment.start(folder, 2)) {
+                startTwo(deployment);
+                deployment.configure(2, "another-key");
+                Wait.until(
+                        "refused", () -> deployment.call("n1", "GET", JOB, null).status() == 401);
+            }
+        }
+
+        @Test
+        void aJobThatFailsAsOftenAsItMayIsShownAsFailed(@TempDir Path folder)
+                throws SessionException {
+            try (PlatformDeployment deployment = PlatformDeployment.start(folder, 4)) {
+                startTwo(deployment);
+                deployment.call("n1", "POST", JOB, body("ms=10 fail", 1));
+                awaitState(deployment, "n1", "failed");
+                assertEquals(3, deployment.count("starts"));
+            }
+        }
+    }
+
+    @Nested
+    class Stops {
+
+        @Test
+        void aGracefulStopHandsLeadershipOnAtOnce(@TempDir Path folder) throws SessionException {
+            try (PlatformDeployment deployment = PlatformDeployment.start(folder, 2)) {
+                startTwo(deployment);
+                String first = deployment.leader().orElseThrow();
+                assertEquals(0, deployment.process(first).terminate());
+                Wait.until(
+                        "takeover", () -> deployment.leader().orElseThrow().equals(other(first)));
+                assertTrue(deployment.logText(first).contains("LEADERSHIP_RESIGNED"));
+                assertFalse(deployment.logText(first).contains("ERROR"));
+            }
+        }
+    }
+}
