Metrics: counters and latency histograms, served as text on the machine's own address

Calls, store calls and orders by kind and outcome (decorators, so that no caller counts twice), appends, first starts by priority, ends, elections, ages of proofs. Series come from fixed sets of values.

--- a/node/src/main/java/io/cardamomshelf/node/Node.java
+++ b/node/src/main/java/io/cardamomshelf/node/Node.java
@@ -4,6 +4,11 @@
 import io.cardamomshelf.node.event.NodeEvent;
 import io.cardamomshelf.node.ingress.CallersServer;
 import io.cardamomshelf.node.ingress.StatusServer;
+import io.cardamomshelf.node.metric.MeteredOrders;
+import io.cardamomshelf.node.metric.MeteredStore;
+import io.cardamomshelf.node.metric.MetricsServer;
+import io.cardamomshelf.node.metric.ServiceMetrics;
+import io.cardamomshelf.node.metric.ServiceMetrics.Name;
 import io.cardamomshelf.node.port.CallersProtocol;
 import io.cardamomshelf.node.port.KeyedStore;
 import io.cardamomshelf.node.port.KeyedStore.Stream;
@@ -76,6 +81,8 @@
     private final Scheduling scheduling;
     private final CallersServer callers;
     private final StatusServer status;
+    private final ServiceMetrics metrics = new ServiceMetrics();
+    private final MetricsServer metricsServer;
     private JobsView jobs;
     private WorkersView workers;
 
@@ -83,12 +90,13 @@
      * Creates a node.
      *
      * @param vertx the event loop's owner, not null
-     * @param adapter the platform, not null
+     * @param platform the platform, not null
      * @param settings the machine's settings, not null
      * @param clock the time, not null
      */
-    public Node(Vertx vertx, Adapter adapter, NodeSettings settings, Clock clock) {
+    public Node(Vertx vertx, Adapter platform, NodeSettings settings, Clock clock) {
         this.vertx = vertx;
+        Adapter adapter = metered(platform, clock);
         this.timers = Timers.of(vertx);
         this.settings = settings;
         this.clock = clock;
@@ -101,6 +109,7 @@
                         new Views(adapter.decoder()),
                         clock,
                         settings,
+                        metrics,
                         this::jobsPosition);
         this.operatorsFollower = follower(adapter, Stream.OPERATORS, operators, OPERATORS_PACE);
         this.workersFollower = follower(adapter, Stream.WORKERS, workers, WORKERS_PACE);
@@ -114,9 +123,15 @@
                         jobs,
                         clock,
                         settings.bounds(),
+                        metrics,
                         operatorsFollower::proofAgeMillis,
                         jobsFollower::proofAgeMillis);
         this.status = new StatusServer(vertx, callers::isReady);
+        this.metricsServer = new MetricsServer(vertx, metrics);
+        metrics.gauge(Name.CONFIGURATION_AGE_MILLIS, operatorsFollower::proofAgeMillis);
+        metrics.gauge(Name.JOBS_AGE_MILLIS, jobsFollower::proofAgeMillis);
+        metrics.gauge(Name.LEADING, () -> scheduling.isLeading() ? 1 : 0);
+        metrics.gauge(Name.IN_FLIGHT, callers::inFlight);
     }
 
     /**
@@ -127,6 +142,7 @@
     public Uni<Void> start() {
         return callers.listen(settings.callers())
                 .chain(port -> status.listen(settings.readiness()))
+                .chain(port -> metricsServer.listen(settings.metrics()))
                 .invoke(port -> vertx.runOnContext(this::follow))
                 .replaceWithVoid();
     }
@@ -188,6 +204,14 @@
         return jobsFollower.position();
     }
 
+    private Adapter metered(Adapter platform, Clock time) {
+        return new Adapter(
+                new MeteredStore(platform.store(), metrics, time),
+                platform.decoder(),
+                new MeteredOrders(platform.orders(), metrics),
+                platform.callers());
+    }
+
     private StreamFollower follower(
             Adapter adapter, Stream stream, StreamFollower.Fold fold, Pace pace) {
         return new StreamFollower(timers, adapter.store(), stream, fold, clock, pace);
--- a/node/src/main/java/io/cardamomshelf/node/ingress/CallersServer.java
+++ b/node/src/main/java/io/cardamomshelf/node/ingress/CallersServer.java
@@ -6,6 +6,8 @@
 import io.cardamomshelf.node.Timers;
 import io.cardamomshelf.node.event.EventLog;
 import io.cardamomshelf.node.event.NodeEvent;
+import io.cardamomshelf.node.metric.ServiceMetrics;
+import io.cardamomshelf.node.metric.ServiceMetrics.Name;
 import io.cardamomshelf.node.port.CallersProtocol;
 import io.cardamomshelf.node.port.Configuration;
 import io.cardamomshelf.node.port.Configuration.Route;
@@ -47,6 +49,7 @@
     private final Freshness freshness;
     private final JobDesk desk;
     private final Clock clock;
+    private final ServiceMetrics metrics;
     private HttpServer server;
     private boolean draining;
     private int inFlight;
@@ -61,6 +64,7 @@
      * @param jobs the jobs, not null
      * @param clock the time, not null
      * @param bounds the promised times, not null
+     * @param metrics where to count, not null
      * @param configurationAgeMillis the age of the configuration's proof, not null
      * @param jobsAgeMillis the age of the jobs' proof, not null
      */
@@ -72,12 +76,14 @@
             JobsView jobs,
             Clock clock,
             NodeSettings.Bounds bounds,
+            ServiceMetrics metrics,
             LongSupplier configurationAgeMillis,
             LongSupplier jobsAgeMillis) {
         this.vertx = vertx;
         this.protocol = protocol;
         this.operators = operators;
         this.clock = clock;
+        this.metrics = metrics;
         this.freshness = new Freshness(bounds, configurationAgeMillis, jobsAgeMillis);
         CallerAppend append = new CallerAppend(Timers.of(vertx), store, clock);
         this.desk = new JobDesk(protocol, jobs, append, freshness, clock);
@@ -140,8 +146,8 @@
                         handle(request, body, limit, startMillis)
                                 .subscribe()
                                 .with(
-                                        answer -> answer(request, answer),
-                                        failure -> failed(request, failure)));
+                                        answer -> answer(request, answer, startMillis),
+                                        failure -> failed(request, failure, startMillis)));
     }
 
     private Uni<Answer> handle(
@@ -200,8 +206,11 @@
         return startMillis + Math.max(ANSWER_MARGIN_MILLIS, allowed - ANSWER_MARGIN_MILLIS);
     }
 
-    private void answer(HttpServerRequest request, Answer answer) {
+    private void answer(HttpServerRequest request, Answer answer, long startMillis) {
         inFlight--;
+        metrics.count(Name.CALLS, answer.status());
+        long took = clock.steadyMillis() - startMillis;
+        metrics.time(Name.CALL_MILLIS, took, method(request.method()));
         if (answer.isError()) {
             EventLog.of(NodeEvent.CALL_REFUSED)
                     .with("method", request.method())
@@ -236,7 +245,16 @@
                 .write();
     }
 
-    private void failed(HttpServerRequest request, Throwable failure) {
+    /** Callers may send any word, and each would make a series of its own. */
+    private static String method(HttpMethod method) {
+        boolean known =
+                method.equals(HttpMethod.POST)
+                        || method.equals(HttpMethod.GET)
+                        || method.equals(HttpMethod.DELETE);
+        return known ? method.name() : "other";
+    }
+
+    private void failed(HttpServerRequest request, Throwable failure, long startMillis) {
         EventLog.of(NodeEvent.CALL_REFUSED)
                 .with("method", request.method())
                 .with("path", request.path())
@@ -244,6 +262,7 @@
                 .write();
         answer(
                 request,
-                new Answer(Answer.OUTCOME_UNKNOWN, protocol.refusal("the call failed inside"), 0));
+                new Answer(Answer.OUTCOME_UNKNOWN, protocol.refusal("the call failed inside"), 0),
+                startMillis);
     }
 }
--- /dev/null
+++ b/node/src/main/java/io/cardamomshelf/node/metric/MeteredOrders.java
@@ -0,0 +1,50 @@
+package io.cardamomshelf.node.metric;
+
+import io.cardamomshelf.core.schedule.Order;
+import io.cardamomshelf.node.metric.ServiceMetrics.Name;
+import io.cardamomshelf.node.port.WorkerOrders;
+import io.smallrye.mutiny.Uni;
+import java.util.OptionalLong;
+
+/** Counts the calls to workers by kind and answer. */
+public final class MeteredOrders implements WorkerOrders {
+
+    private final WorkerOrders orders;
+    private final ServiceMetrics metrics;
+
+    /**
+     * Creates orders that count.
+     *
+     * @param orders what is called, not null
+     * @param metrics where to count, not null
+     */
+    public MeteredOrders(WorkerOrders orders, ServiceMetrics metrics) {
+        this.orders = orders;
+        this.metrics = metrics;
+    }
+
+    @Override
+    public Uni<Reply> start(
+            Target target, Order.Start start, long leaseEndMillis, long token, long timeoutMillis) {
+        return orders.start(target, start, leaseEndMillis, token, timeoutMillis)
+                .invoke(reply -> metrics.count(Name.ORDERS, "start", reply.answer()));
+    }
+
+    @Override
+    public Uni<Reply> stop(Target target, Order.Stop stop, long token, long timeoutMillis) {
+        return orders.stop(target, stop, token, timeoutMillis)
+                .invoke(reply -> metrics.count(Name.ORDERS, "stop", reply.answer()));
+    }
+
+    @Override
+    public Uni<Holding> hold(
+            Target target,
+            OptionalLong leaseEndMillis,
+            long lastSeen,
+            long waitMillis,
+            long token,
+            long timeoutMillis) {
+        return orders.hold(target, leaseEndMillis, lastSeen, waitMillis, token, timeoutMillis)
+                .invoke(holding -> metrics.count(Name.ORDERS, "hold", holding.answer()));
+    }
+}
--- /dev/null
+++ b/node/src/main/java/io/cardamomshelf/node/metric/MetricsServer.java
@@ -0,0 +1,76 @@
+package io.cardamomshelf.node.metric;
+
+import io.cardamomshelf.core.base.Endpoint;
+import io.cardamomshelf.node.event.EventLog;
+import io.cardamomshelf.node.event.NodeEvent;
+import io.prometheus.client.CollectorRegistry;
+import io.prometheus.client.dropwizard.DropwizardExports;
+import io.prometheus.client.exporter.common.TextFormat;
+import io.smallrye.mutiny.Uni;
+import io.vertx.mutiny.core.Vertx;
+import io.vertx.mutiny.core.http.HttpServer;
+import io.vertx.mutiny.core.http.HttpServerRequest;
+import java.io.IOException;
+import java.io.StringWriter;
+import java.io.UncheckedIOException;
+
+/**
+ * The address where metrics are read as text.
+ *
+ * <p>Not thread-safe: belongs to the instance's event loop.
+ */
+public final class MetricsServer {
+
+    private final Vertx vertx;
+    private final CollectorRegistry collectors = new CollectorRegistry();
+
+    /**
+     * Creates a server.
+     *
+     * @param vertx the event loop's owner, not null
+     * @param metrics what to serve, not null
+     */
+    public MetricsServer(Vertx vertx, ServiceMetrics metrics) {
+        this.vertx = vertx;
+        collectors.register(new DropwizardExports(metrics.registry()));
+    }
+
+    /**
+     * Starts to listen.
+     *
+     * @param endpoint where, not null
+     * @return the port, once it listens
+     */
+    public Uni<Integer> listen(Endpoint endpoint) {
+        return vertx.createHttpServer()
+                .requestHandler(this::serve)
+                .listen(endpoint.port(), endpoint.host())
+                .map(HttpServer::actualPort);
+    }
+
+    private void serve(HttpServerRequest request) {
+        request.response()
+                .putHeader("Content-Type", TextFormat.CONTENT_TYPE_004)
+                .end(text())
+                .subscribe()
+                .with(done -> {}, MetricsServer::unread);
+    }
+
+    /** The next reading has the same counters, so a lost one matters no further. */
+    private static void unread(Throwable failure) {
+        EventLog.of(NodeEvent.ANSWER_UNDELIVERED)
+                .with("path", "metrics")
+                .with("cause", failure.getMessage())
+                .write();
+    }
+
+    private String text() {
+        StringWriter writer = new StringWriter();
+        try {
+            TextFormat.write004(writer, collectors.metricFamilySamples());
+        } catch (IOException e) {
+            throw new UncheckedIOException("a writer in memory failed", e);
+        }
+        return writer.toString();
+    }
+}
--- a/node/src/main/java/io/cardamomshelf/node/schedule/Reign.java
+++ b/node/src/main/java/io/cardamomshelf/node/schedule/Reign.java
@@ -8,11 +8,14 @@
 import io.cardamomshelf.core.schedule.Order;
 import io.cardamomshelf.core.schedule.WorkerInfo;
 import io.cardamomshelf.core.task.JobProgress;
+import io.cardamomshelf.core.task.JobState;
 import io.cardamomshelf.core.task.QueuePolicy;
 import io.cardamomshelf.node.Clock;
 import io.cardamomshelf.node.Timers;
 import io.cardamomshelf.node.event.EventLog;
 import io.cardamomshelf.node.event.NodeEvent;
+import io.cardamomshelf.node.metric.ServiceMetrics;
+import io.cardamomshelf.node.metric.ServiceMetrics.Name;
 import io.cardamomshelf.node.port.Configuration;
 import io.cardamomshelf.node.port.StoredRecord;
 import io.cardamomshelf.node.port.WorkerOrders;
@@ -23,9 +26,11 @@
 import io.cardamomshelf.node.store.WorkersView;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 /**
  * One process's time as scheduler: from its election until it resigns or is deposed.
@@ -44,6 +49,7 @@
      * @param clock the time
      * @param orders calls to workers
      * @param settings the scheduler's times
+     * @param metrics where to count
      * @param epoch the fencing token
      */
     record Parts(
@@ -51,6 +57,7 @@
             Clock clock,
             WorkerOrders orders,
             SchedulerSettings settings,
+            ServiceMetrics metrics,
             long epoch) {}
 
     /** The starts that one epoch may order, so that run numbers rise over schedulers. */
@@ -72,6 +79,7 @@
     private final Map<WorkerId, WorkerLink> links = new LinkedHashMap<>();
     private final Map<WorkerId, Long> sentEnds = new HashMap<>();
     private final Map<JobId, Long> endedSince = new HashMap<>();
+    private final Set<JobId> firstStarts = new HashSet<>();
     private boolean roundDue;
     private boolean over;
     private boolean takingOver = true;
@@ -239,6 +247,7 @@
                     .with("run", start.run())
                     .with("worker", start.worker())
                     .write();
+            noteFirstStart(start.task().job());
             link.start(start);
         } else if (order instanceof Order.Stop stop) {
             EventLog.of(NodeEvent.STOP_ORDERED)
@@ -251,6 +260,20 @@
         }
     }
 
+    private void noteFirstStart(JobId id) {
+        jobs.find(id)
+                .filter(entry -> entry.state() == JobState.QUEUED && firstStarts.add(id))
+                .flatMap(JobsView.Entry::job)
+                .ifPresent(
+                        job ->
+                                parts.metrics()
+                                        .time(
+                                                Name.FIRST_START_MILLIS,
+                                                parts.clock().now().wallMillis()
+                                                        - job.acceptedMillis(),
+                                                job.queue().priority()));
+    }
+
     /** Stores what has changed, and only then lets the workers forget the ends behind it. */
     private void store() {
         Map<JobId, JobProgress> progress = board.takeChanged();
@@ -292,6 +315,7 @@
                 continue;
             }
             board.forget(id);
+            firstStarts.remove(id);
             long since = endedSince.computeIfAbsent(id, any -> now);
             if (now - since > parts.settings().stateKeptMillis()) {
                 drops.addAll(JobRecords.drops(id));
--- a/node/src/main/java/io/cardamomshelf/node/schedule/Scheduling.java
+++ b/node/src/main/java/io/cardamomshelf/node/schedule/Scheduling.java
@@ -7,6 +7,8 @@
 import io.cardamomshelf.node.Timers;
 import io.cardamomshelf.node.event.EventLog;
 import io.cardamomshelf.node.event.NodeEvent;
+import io.cardamomshelf.node.metric.ServiceMetrics;
+import io.cardamomshelf.node.metric.ServiceMetrics.Name;
 import io.cardamomshelf.node.port.AppendOutcome;
 import io.cardamomshelf.node.port.KeyedStore;
 import io.cardamomshelf.node.port.KeyedStore.Writer;
@@ -59,6 +61,7 @@
     private final WorkerOrders orders;
     private final Clock clock;
     private final NodeSettings settings;
+    private final ServiceMetrics metrics;
     private final LongSupplier position;
     private final Random random;
     private final ElectionTimer timer;
@@ -81,6 +84,7 @@
      * @param views what was read of the store, not null
      * @param clock the time, not null
      * @param settings the machine's settings, not null
+     * @param metrics where to count, not null
      * @param position up to where the jobs' records were read, not null
      */
     public Scheduling(
@@ -90,12 +94,14 @@
             Views views,
             Clock clock,
             NodeSettings settings,
+            ServiceMetrics metrics,
             LongSupplier position) {
         this.timers = timers;
         this.store = store;
         this.orders = orders;
         this.clock = clock;
         this.settings = settings;
+        this.metrics = metrics;
         this.position = position;
         this.random = new Random(settings.name().hashCode() * 31L + clock.now().wallMillis());
         this.timer = new ElectionTimer(SILENCE_MILLIS + random.nextInt(JITTER_MILLIS));
@@ -267,6 +273,7 @@
     private void stood(AppendOutcome outcome, Writer writer, int attempt) {
         if (outcome instanceof AppendOutcome.Stored stored) {
             standing = false;
+            metrics.count(Name.ELECTIONS, "won");
             EventLog.of(NodeEvent.LEADERSHIP_WON).with("epoch", writer.epoch()).write();
             elected(stored.offset(), writer);
         } else if (outcome instanceof AppendOutcome.Unknown && attempt < STAND_ATTEMPTS) {
@@ -274,6 +281,7 @@
         } else {
             standing = false;
             timer.heard(clock.steadyMillis());
+            metrics.count(Name.ELECTIONS, "missed");
             EventLog.of(NodeEvent.LEADERSHIP_MISSED)
                     .with("epoch", writer.epoch())
                     .with("outcome", outcome)
@@ -299,6 +307,7 @@
                         clock,
                         orders,
                         SchedulerSettings.of(settings.bounds()),
+                        metrics,
                         writer.epoch());
         self[0] = new Reign(parts, log, jobs, operators, workers, () -> deposed(self[0]));
         electedAt = offset;
--- a/node/src/main/java/io/cardamomshelf/node/schedule/WorkerLink.java
+++ b/node/src/main/java/io/cardamomshelf/node/schedule/WorkerLink.java
@@ -9,6 +9,8 @@
 import io.cardamomshelf.node.Timers;
 import io.cardamomshelf.node.event.EventLog;
 import io.cardamomshelf.node.event.NodeEvent;
+import io.cardamomshelf.node.metric.ServiceMetrics;
+import io.cardamomshelf.node.metric.ServiceMetrics.Name;
 import io.cardamomshelf.node.port.WorkerOrders;
 import io.cardamomshelf.node.port.WorkerOrders.Answer;
 import java.util.OptionalLong;
@@ -57,6 +59,7 @@
     private final Board board;
     private final Clock clock;
     private final Host host;
+    private final ServiceMetrics metrics;
     private final long token;
     private final long leaseMillis;
     private final LeaseClock lease;
@@ -72,6 +75,7 @@
         this.timers = parts.timers();
         this.orders = parts.orders();
         this.clock = parts.clock();
+        this.metrics = parts.metrics();
         this.token = parts.epoch();
         this.leaseMillis = parts.settings().leaseMillis();
         this.board = board;
@@ -183,6 +187,7 @@
     private void logEnds(WorkerLists lists) {
         for (WorkerLists.Ended ended : lists.ended()) {
             if (ended.number() > board.lastEnd(info.id())) {
+                metrics.count(Name.RUN_ENDS, ended.end());
                 EventLog.of(NodeEvent.RUN_ENDED)
                         .with("task", ended.task())
                         .with("run", ended.run())
--- a/node/src/test/java/io/cardamomshelf/node/schedule/SchedulingTest.java
+++ b/node/src/test/java/io/cardamomshelf/node/schedule/SchedulingTest.java
@@ -21,6 +21,7 @@
 import io.cardamomshelf.node.FakeStore;
 import io.cardamomshelf.node.FakeStore.Trouble;
 import io.cardamomshelf.node.VirtualTime;
+import io.cardamomshelf.node.metric.ServiceMetrics;
 import io.cardamomshelf.node.port.Configuration;
 import io.cardamomshelf.node.port.KeyedStore.Stream;
 import io.cardamomshelf.node.port.OperatorFact;
@@ -99,6 +100,7 @@
                             new Views(),
                             time,
                             settings(name),
+                            new ServiceMetrics(),
                             () -> jobsFollower.position());
             jobsFollower = follow(Stream.JOBS, jobs);
             follow(Stream.OPERATORS, operators);
--- a/sessions/src/main/java/io/cardamomshelf/sessions/PlatformSession.java
+++ b/sessions/src/main/java/io/cardamomshelf/sessions/PlatformSession.java
@@ -72,7 +72,7 @@
         Wait.until("the gang runs", () -> deployment.count("starts") == 2);
         String first = deployment.leader().orElseThrow();
         String second = first.equals("n1") ? "n2" : "n1";
-        tell("and submitted again", deployment.call(second, "POST", GANG, GANG_BODY));
+        say("and submitted again: " + deployment.call(second, "POST", GANG, GANG_BODY).status());
         deployment.process(first).kill();
         say("the scheduler's process is killed");
         Wait.until(
