Ready a second sooner after a start; a refusing store is given up after half a second

Now the first read after a load doesn't wait, and a submission that was only ever refused is refused after 500 ms. Ruled out: slow start of the process (0.2 s from the log).

--- a/node/src/main/java/io/cardamomshelf/node/ingress/CallerAppend.java
+++ b/node/src/main/java/io/cardamomshelf/node/ingress/CallerAppend.java
@@ -26,6 +26,11 @@
     /** The pause between attempts, in milliseconds. */
     private static final long RETRY_MILLIS = 150;
 
+    /**
+     * A store that refuses for so long is down, and another machine may reach it, in milliseconds.
+     */
+    private static final long REFUSED_MILLIS = 500;
+
     private final Timers timers;
     private final KeyedStore store;
     private final Clock clock;
@@ -37,11 +42,14 @@
     }
 
     Uni<AppendOutcome> append(StoredRecord record, long untilMillis) {
-        return Uni.createFrom().emitter(emitter -> attempt(record, untilMillis, false, emitter));
+        long startMillis = clock.steadyMillis();
+        return Uni.createFrom()
+                .emitter(emitter -> attempt(record, startMillis, untilMillis, false, emitter));
     }
 
     private void attempt(
             StoredRecord record,
+            long startMillis,
             long untilMillis,
             boolean mayBeStored,
             UniEmitter<? super AppendOutcome> emitter) {
@@ -61,20 +69,25 @@
                             log(record, outcome);
                             boolean unknown =
                                     mayBeStored || outcome instanceof AppendOutcome.Unknown;
-                            again(record, untilMillis, unknown, emitter);
+                            again(record, startMillis, untilMillis, unknown, emitter);
                         });
     }
 
     private void again(
             StoredRecord record,
+            long startMillis,
             long untilMillis,
             boolean mayBeStored,
             UniEmitter<? super AppendOutcome> emitter) {
-        if (clock.steadyMillis() + RETRY_MILLIS >= untilMillis) {
+        long next = clock.steadyMillis() + RETRY_MILLIS;
+        boolean refusedForLong = !mayBeStored && next - startMillis > REFUSED_MILLIS;
+        if (next >= untilMillis || refusedForLong) {
             emitter.complete(outcome(mayBeStored));
             return;
         }
-        timers.after(RETRY_MILLIS, () -> attempt(record, untilMillis, mayBeStored, emitter));
+        timers.after(
+                RETRY_MILLIS,
+                () -> attempt(record, startMillis, untilMillis, mayBeStored, emitter));
     }
 
     private static AppendOutcome outcome(boolean mayBeStored) {
--- a/node/src/main/java/io/cardamomshelf/node/store/StreamFollower.java
+++ b/node/src/main/java/io/cardamomshelf/node/store/StreamFollower.java
@@ -168,15 +168,19 @@
         fold.replace(soFar);
         next = end;
         loaded = true;
-        read();
+        readWaiting(0);
     }
 
     private void read() {
+        readWaiting(pace.waitMillis());
+    }
+
+    private void readWaiting(long waitMillis) {
         if (!running) {
             return;
         }
         long askedMillis = clock.steadyMillis();
-        Uni<Tail> tail = store.read(stream, next, pace.waitMillis());
+        Uni<Tail> tail = store.read(stream, next, waitMillis);
         tail.subscribe()
                 .with(
                         found -> takeTail(found, askedMillis),
--- /dev/null
+++ b/node/src/test/java/io/cardamomshelf/node/store/StreamFollowerTest.java
@@ -0,0 +1,100 @@
+package io.cardamomshelf.node.store;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.cardamomshelf.node.FakeStore;
+import io.cardamomshelf.node.FakeStore.Trouble;
+import io.cardamomshelf.node.VirtualTime;
+import io.cardamomshelf.node.port.KeyedStore.Stream;
+import io.cardamomshelf.node.port.StoredRecord;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+/** How current a follower is, and what it takes after gaps. */
+class StreamFollowerTest {
+
+    private final VirtualTime time = new VirtualTime();
+    private final FakeStore store = new FakeStore(time);
+    private final List<String> taken = new ArrayList<>();
+    private final StreamFollower follower =
+            new StreamFollower(
+                    time,
+                    store,
+                    Stream.JOBS,
+                    new StreamFollower.Fold() {
+                        @Override
+                        public void replace(List<StoredRecord> records) {
+                            taken.clear();
+                            records.forEach(this::apply);
+                        }
+
+                        @Override
+                        public void apply(StoredRecord record) {
+                            taken.add(record.key());
+                        }
+                    },
+                    time,
+                    new StreamFollower.Pace(1_000, 0));
+
+    private void write(String key) {
+        store.write(Stream.JOBS, StoredRecord.of(key, "x".getBytes(StandardCharsets.UTF_8)));
+    }
+
+    @Nested
+    class Proof {
+
+        @Test
+        void isThereAsSoonAsTheNewestRecordsAreRead() {
+            write("a");
+            follower.start();
+            time.pass(30);
+            assertTrue(follower.proofAgeMillis() < 50, "age " + follower.proofAgeMillis());
+        }
+
+        @Test
+        void agesWhileTheStoreIsAway() {
+            follower.start();
+            time.pass(500);
+            store.trouble = Trouble.REFUSING;
+            time.pass(5_000);
+            assertTrue(follower.proofAgeMillis() >= 4_900);
+            store.trouble = Trouble.NONE;
+            time.pass(600);
+            assertTrue(follower.proofAgeMillis() < 600);
+        }
+    }
+
+    @Nested
+    class Records {
+
+        @Test
+        void areTakenOnceAndInOrder() {
+            write("a");
+            follower.start();
+            time.pass(200);
+            write("b");
+            write("c");
+            time.pass(1_500);
+            assertEquals(List.of("a", "b", "c"), taken);
+            assertEquals(3, follower.position());
+        }
+
+        @Test
+        void areReadAnewAfterAGap() {
+            follower.start();
+            time.pass(200);
+            store.trouble = Trouble.REFUSING;
+            time.pass(1_500);
+            write("a");
+            write("b");
+            store.dropHistory(Stream.JOBS);
+            store.trouble = Trouble.NONE;
+            time.pass(1_500);
+            assertEquals(List.of("a", "b"), taken);
+        }
+    }
+}
