--- a/core/src/main/java/io/cardamomshelf/core/schedule/Board.java
+++ b/core/src/main/java/io/cardamomshelf/core/schedule/Board.java
@@ -41,6 +41,7 @@
     private final WorkerBook workers = new WorkerBook(jobs);
     private Map<OrganisationId, Integer> guarantees = Map.of();
     private Set<DataCentreId> closed = Set.of();
+    private Map<JobId, WaitReason> waits = Map.of();
     private long lastRun;
     private boolean inheriting = true;
 
@@ -211,10 +212,21 @@
                 stopUnwanted(group, now, orders);
             }
         }
-        orders.addAll(new Round(this, now).decide(jobs.all()));
+        Round round = new Round(this, now);
+        orders.addAll(round.decide(jobs.all()));
+        waits = Map.copyOf(round.waits());
         return orders;
     }
 
+    /**
+     * Returns the jobs of which something waited in the last round.
+     *
+     * @return the reason by job, never null
+     */
+    public Map<JobId, WaitReason> waits() {
+        return waits;
+    }
+
     /**
      * Returns the progress that has changed since the last call.
      *
--- a/core/src/main/java/io/cardamomshelf/core/schedule/Round.java
+++ b/core/src/main/java/io/cardamomshelf/core/schedule/Round.java
@@ -1,5 +1,6 @@
 package io.cardamomshelf.core.schedule;
 
+import io.cardamomshelf.core.base.JobId;
 import io.cardamomshelf.core.base.OrganisationId;
 import io.cardamomshelf.core.task.QueuePolicy;
 import java.util.ArrayList;
@@ -28,6 +29,7 @@
     private final RoomBook room;
     private final Placer placer;
     private final List<Order> orders = new ArrayList<>();
+    private final Map<JobId, WaitReason> waits = new HashMap<>();
 
     Round(Board board, Moment now) {
         this.board = board;
@@ -40,7 +42,12 @@
         Set<OrganisationId> guaranteed = guaranteed(jobs);
         List<TaskGroup> groups = new ArrayList<>();
         for (LiveJob job : jobs) {
-            if (!job.isEnded() && !board.isUncertain(job)) {
+            if (job.isEnded()) {
+                continue;
+            }
+            if (board.isUncertain(job)) {
+                waits.put(job.job().id(), WaitReason.TAKEOVER);
+            } else {
                 groups.addAll(job.ready(now.wallMillis()));
             }
         }
@@ -49,6 +56,11 @@
         return orders;
     }
 
+    /** The jobs of which something waits, after the round was decided. */
+    Map<JobId, WaitReason> waits() {
+        return waits;
+    }
+
     private Comparator<TaskGroup> order(Set<OrganisationId> guaranteed) {
         return Comparator.<TaskGroup, Boolean>comparing(
                         group -> !(isUrgent(group) && guaranteed.contains(organisation(group))))
@@ -100,7 +112,7 @@
         int count = waiting.size();
         Optional<List<WorkerState>> place = placer.wanted(group, count, policy.service());
         if (place.isEmpty() && isUrgent(group) && reclaimWanted(group, count)) {
-            return false;
+            return waitsFor(group, WaitReason.RECLAIMING);
         }
         boolean waits =
                 place.isEmpty()
@@ -112,11 +124,19 @@
             start(group, waiting, place.get());
             return true;
         }
-        if (isUrgent(group) && !waits) {
-            preemption(group)
-                    .anywhere(group, count, policy.service())
-                    .ifPresent(plan -> reclaim(group, plan));
+        if (waits) {
+            return waitsFor(group, WaitReason.WANTED_RACK);
         }
+        Optional<Preemption.Plan> plan =
+                isUrgent(group)
+                        ? preemption(group).anywhere(group, count, policy.service())
+                        : Optional.empty();
+        plan.ifPresent(found -> reclaim(group, found));
+        return waitsFor(group, plan.isPresent() ? WaitReason.RECLAIMING : WaitReason.NO_ROOM);
+    }
+
+    private boolean waitsFor(TaskGroup group, WaitReason reason) {
+        waits.put(group.owner().job().id(), reason);
         return false;
     }
 
--- a/node/src/main/java/io/cardamomshelf/node/event/NodeEvent.java
+++ b/node/src/main/java/io/cardamomshelf/node/event/NodeEvent.java
@@ -54,6 +54,8 @@
     JOB_ACCEPTED(5001, "A job is stored and its caller was told."),
     /** A cancellation was accepted. */
     JOB_CANCELLED(5002, "A job's cancellation is stored and its caller was told."),
+    /** Something of a job waits. */
+    JOB_WAITING(5003, "Tasks of a job can't be placed now; the line says why."),
     /** A run was ordered. */
     RUN_ORDERED(5101, "The scheduler chose a worker for a task and ordered its start."),
     /** A start wasn't carried out. */
--- a/node/src/main/java/io/cardamomshelf/node/ingress/CallersServer.java
+++ b/node/src/main/java/io/cardamomshelf/node/ingress/CallersServer.java
@@ -218,6 +218,8 @@
                     .with("status", answer.status())
                     .with("reason", answer.body())
                     .with("configurationAgeMillis", freshness.configurationAgeMillis())
+                    .with("jobsAgeMillis", freshness.jobsAgeMillis())
+                    .with("tookMillis", took)
                     .write();
         }
         HttpServerResponse response = request.response();
--- a/node/src/main/java/io/cardamomshelf/node/ingress/Freshness.java
+++ b/node/src/main/java/io/cardamomshelf/node/ingress/Freshness.java
@@ -26,6 +26,9 @@
      */
     private static final long BROKEN_MILLIS = 2_000;
 
+    /** Longer than any process lives, in milliseconds. */
+    private static final long LONGEST_MILLIS = 1L << 50;
+
     private final NodeSettings.Bounds bounds;
     private final LongSupplier configurationAgeMillis;
     private final LongSupplier jobsAgeMillis;
@@ -57,7 +60,17 @@
         return isStoreReachable() && isConfigurationUsable();
     }
 
+    /** The age of the configuration's proof for a log line, -1 if there never was one. */
     long configurationAgeMillis() {
-        return configurationAgeMillis.getAsLong();
+        return known(configurationAgeMillis.getAsLong());
+    }
+
+    /** The age of the jobs' proof for a log line, -1 if there never was one. */
+    long jobsAgeMillis() {
+        return known(jobsAgeMillis.getAsLong());
+    }
+
+    private static long known(long ageMillis) {
+        return ageMillis > LONGEST_MILLIS ? -1 : ageMillis;
     }
 }
--- a/node/src/main/java/io/cardamomshelf/node/schedule/Reign.java
+++ b/node/src/main/java/io/cardamomshelf/node/schedule/Reign.java
@@ -6,6 +6,7 @@
 import io.cardamomshelf.core.schedule.Board;
 import io.cardamomshelf.core.schedule.LeaseClock;
 import io.cardamomshelf.core.schedule.Order;
+import io.cardamomshelf.core.schedule.WaitReason;
 import io.cardamomshelf.core.schedule.WorkerInfo;
 import io.cardamomshelf.core.task.JobProgress;
 import io.cardamomshelf.core.task.JobState;
@@ -80,6 +81,7 @@
     private final Map<WorkerId, Long> sentEnds = new HashMap<>();
     private final Map<JobId, Long> endedSince = new HashMap<>();
     private final Set<JobId> firstStarts = new HashSet<>();
+    private Map<JobId, WaitReason> lastWaits = Map.of();
     private boolean roundDue;
     private boolean over;
     private boolean takingOver = true;
@@ -229,6 +231,7 @@
         for (Order order : board.decide(parts.clock().now())) {
             carryOut(order);
         }
+        logWaits();
         store();
         if (takingOver && board.unseen().isEmpty()) {
             takingOver = false;
@@ -239,6 +242,30 @@
         }
     }
 
+    /** One line when a job begins to wait and one when the reason changes. */
+    private void logWaits() {
+        Map<JobId, WaitReason> waits = board.waits();
+        for (Map.Entry<JobId, WaitReason> wait : waits.entrySet()) {
+            if (wait.getValue() != lastWaits.get(wait.getKey())) {
+                EventLog.of(NodeEvent.JOB_WAITING)
+                        .with("job", wait.getKey())
+                        .with("reason", wait.getValue())
+                        .with("waitedMillis", sinceAccepted(wait.getKey()))
+                        .with("unseenWorkers", board.unseen().size())
+                        .write();
+            }
+        }
+        lastWaits = waits;
+    }
+
+    private long sinceAccepted(JobId id) {
+        long now = parts.clock().now().wallMillis();
+        return jobs.find(id)
+                .flatMap(JobsView.Entry::job)
+                .map(job -> now - job.acceptedMillis())
+                .orElse(-1L);
+    }
+
     private void carryOut(Order order) {
         WorkerLink link = links.get(order.worker());
         if (order instanceof Order.Start start) {
@@ -246,6 +273,9 @@
                     .with("task", start.task())
                     .with("run", start.run())
                     .with("worker", start.worker())
+                    .with("waitedMillis", sinceAccepted(start.task().job()))
+                    .with("checkpointed", !start.checkpoint().isEmpty())
+                    .with("configuration", configurationVersion())
                     .write();
             noteFirstStart(start.task().job());
             link.start(start);
@@ -260,6 +290,10 @@
         }
     }
 
+    private long configurationVersion() {
+        return operators.configuration().map(Configuration::version).orElse(-1L);
+    }
+
     private void noteFirstStart(JobId id) {
         jobs.find(id)
                 .filter(entry -> entry.state() == JobState.QUEUED && firstStarts.add(id))
