--- a/sessions/src/test/java/io/cardamomshelf/sessions/ArchitectureTest.java
+++ b/sessions/src/test/java/io/cardamomshelf/sessions/ArchitectureTest.java
@@ -2,16 +2,21 @@
 
 import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.classes;
 import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.noClasses;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 
 import com.tngtech.archunit.core.domain.JavaClasses;
 import com.tngtech.archunit.core.importer.ClassFileImporter;
 import com.tngtech.archunit.core.importer.ImportOption;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import java.util.List;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** The arrows between modules, and what the core must not touch. */
 class ArchitectureTest {
@@ -104,6 +109,38 @@
                 .check(CLASSES);
     }
 
+    @Nested
+    class ThePlatform {
+
+        /** Words that only the platform's wire and settings use. */
+        private static final List<String> WIRE_WORDS =
+                List.of(
+                        "fencing_token",
+                        "finished_runs",
+                        "log-append",
+                        "log-read",
+                        "run-start",
+                        "keyed.op",
+                        "path_prefix",
+                        "api_keys",
+                        "est_runtime_ms",
+                        "X-Expected-Instance",
+                        "CARDAMOMSHELF_NODE_FILE",
+                        "platform.address");
+
+        @ParameterizedTest
+        @ValueSource(strings = {"core", "wire", "client", "node", "entry", "cli"})
+        void isNamedInItsOwnFolderOnly(String module) throws IOException {
+            try (Stream<Path> files = Files.walk(Path.of("..", module, "src", "main"))) {
+                for (Path file : files.filter(Files::isRegularFile).toList()) {
+                    String text = Files.readString(file);
+                    WIRE_WORDS.forEach(
+                            word -> assertFalse(text.contains(word), file + " names " + word));
+                }
+            }
+        }
+    }
+
     @Test
     void theProductStartsNoProcess() {
         noClasses()
