--- a/node/src/main/java/io/cardamomshelf/node/ingress/CallerAppend.java
+++ b/node/src/main/java/io/cardamomshelf/node/ingress/CallerAppend.java
@@ -11,17 +11,19 @@
 import io.smallrye.mutiny.subscription.UniEmitter;
 import java.util.List;
 import java.util.Optional;
+import java.util.function.BooleanSupplier;
 
 /**
  * Appends a caller's record and repeats it until it is stored or the caller's time is up.
  *
  * <p>A repeat has the same key and content, so storing it twice does no harm. The final outcome is
- * "refused" only if every single attempt was.
+ * "refused" only if every single attempt was. A machine that has lost its path to the store answers
+ * soon, so that the caller can go to another one while it has time.
  */
 final class CallerAppend {
 
     /** How long one attempt may take, in milliseconds: many times the store's usual answer. */
-    private static final long ATTEMPT_MILLIS = 1_200;
+    private static final long ATTEMPT_MILLIS = 800;
 
     /** The pause between attempts, in milliseconds. */
     private static final long RETRY_MILLIS = 150;
@@ -34,11 +36,14 @@
     private final Timers timers;
     private final KeyedStore store;
     private final Clock clock;
+    private final BooleanSupplier reachable;
 
-    CallerAppend(Timers timers, KeyedStore store, Clock clock) {
+    /** The last argument tells whether reads of the store have been answered lately. */
+    CallerAppend(Timers timers, KeyedStore store, Clock clock, BooleanSupplier reachable) {
         this.timers = timers;
         this.store = store;
         this.clock = clock;
+        this.reachable = reachable;
     }
 
     Uni<AppendOutcome> append(StoredRecord record, long untilMillis) {
@@ -81,7 +86,7 @@
             UniEmitter<? super AppendOutcome> emitter) {
         long next = clock.steadyMillis() + RETRY_MILLIS;
         boolean refusedForLong = !mayBeStored && next - startMillis > REFUSED_MILLIS;
-        if (next >= untilMillis || refusedForLong) {
+        if (next >= untilMillis || refusedForLong || !reachable.getAsBoolean()) {
             emitter.complete(outcome(mayBeStored));
             return;
         }
--- a/node/src/main/java/io/cardamomshelf/node/ingress/CallersServer.java
+++ b/node/src/main/java/io/cardamomshelf/node/ingress/CallersServer.java
@@ -85,7 +85,8 @@
         this.clock = clock;
         this.metrics = metrics;
         this.freshness = new Freshness(bounds, configurationAgeMillis, jobsAgeMillis);
-        CallerAppend append = new CallerAppend(Timers.of(vertx), store, clock);
+        CallerAppend append =
+                new CallerAppend(Timers.of(vertx), store, clock, freshness::isStoreReachable);
         this.desk = new JobDesk(protocol, jobs, append, freshness, clock);
     }
 
--- a/node/src/test/java/io/cardamomshelf/node/ingress/CallerAppendTest.java
+++ b/node/src/test/java/io/cardamomshelf/node/ingress/CallerAppendTest.java
@@ -23,8 +23,10 @@
     private final FakeStore store = new FakeStore(time);
     private final AtomicReference<AppendOutcome> outcome = new AtomicReference<>();
 
+    private boolean reachable = true;
+
     private void append() {
-        new CallerAppend(time, store, time)
+        new CallerAppend(time, store, time, () -> reachable)
                 .append(StoredRecord.of("a:1", new byte[] {1}), time.steadyMillis() + CALLER_MILLIS)
                 .subscribe()
                 .with(outcome::set);
@@ -78,6 +80,15 @@
             assertInstanceOf(AppendOutcome.Unknown.class, outcome.get());
         }
 
+        @Test
+        void isCutOffIsGivenUpSoonSoThatTheCallerCanGoElsewhere() {
+            store.trouble = Trouble.SILENT;
+            reachable = false;
+            append();
+            time.pass(1_000);
+            assertInstanceOf(AppendOutcome.Unknown.class, outcome.get());
+        }
+
         @Test
         void doesItLateIsToldAsUnknown() {
             store.trouble = Trouble.LATE;
