--- a/core/src/main/java/io/cardamomshelf/core/task/StepProgress.java
+++ b/core/src/main/java/io/cardamomshelf/core/task/StepProgress.java
@@ -2,7 +2,9 @@
 
 import io.cardamomshelf.core.base.Checks;
 import java.util.BitSet;
+import java.util.HashSet;
 import java.util.Map;
+import java.util.Set;
 
 /**
  * What has ended of one step in one occurrence.
@@ -27,22 +29,40 @@
     /**
      * The failed attempts at one task.
      *
-     * @param count how many
-     * @param lastRun the number of the last run that failed, so that none counts twice
+     * <p>Several workers may list them again, in any order, to a scheduler that took over, so the
+     * runs themselves are kept rather than their number.
+     *
+     * @param runs the numbers of the runs that failed, not null
      */
-    public record Failures(int count, long lastRun) {
+    public record Failures(Set<Long> runs) {
 
         /** No failed attempt. */
-        public static final Failures NONE = new Failures(0, 0);
+        public static final Failures NONE = new Failures(Set.of());
+
+        /** Creates failures. */
+        public Failures {
+            runs = Set.copyOf(runs);
+        }
 
         /**
          * Counts a failed run.
          *
          * @param run the run's number
-         * @return the failures with it, never null; the same if the run was counted before
+         * @return the failures with it, never null; equal to these if the run was counted before
          */
         public Failures plus(long run) {
-            return run > lastRun ? new Failures(count + 1, run) : this;
+            Set<Long> more = new HashSet<>(runs);
+            more.add(run);
+            return new Failures(more);
+        }
+
+        /**
+         * Returns how many attempts failed.
+         *
+         * @return the number, 0 or more
+         */
+        public int count() {
+            return runs.size();
         }
     }
 
--- /dev/null
+++ b/core/src/test/java/io/cardamomshelf/core/schedule/TakeoverTest.java
@@ -0,0 +1,138 @@
+package io.cardamomshelf.core.schedule;
+
+import static io.cardamomshelf.core.schedule.Scene.running;
+import static io.cardamomshelf.core.schedule.Scene.step;
+import static io.cardamomshelf.core.schedule.Scene.task;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+
+import io.cardamomshelf.core.task.JobProgress;
+import io.cardamomshelf.core.task.JobRequest;
+import io.cardamomshelf.core.task.JobState;
+import io.cardamomshelf.core.task.RunEnd;
+import io.cardamomshelf.core.task.TaskJob;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+/** What a scheduler does with what an earlier one left. */
+class TakeoverTest {
+
+    private final Scene scene = new Scene();
+
+    private JobState stored(int job) {
+        Map<?, JobProgress> changed = scene.board.takeChanged();
+        JobProgress progress = changed.get(Scene.job(job));
+        return progress == null ? null : progress.state();
+    }
+
+    @Nested
+    class Runs {
+
+        private void inherit(JobState state) {
+            JobRequest request =
+                    new JobRequest("x", List.of(step(1, 52_000, 270_000, 8).build()), 0, 0, 0);
+            scene.board.putJob(
+                    new TaskJob(Scene.job(1), Scene.ORGANISATION, Scene.queue(1), 1, request),
+                    new JobProgress(state, List.of()));
+        }
+
+        @Test
+        void startsNothingInheritedUntilEveryWorkerHasTold() {
+            inherit(JobState.RUNNING);
+            scene.listWorker("w1", "r1-1").listWorker("w2", "r1-1");
+            scene.board.endInheritance();
+            scene.report("w1");
+            assertEquals(List.of(), scene.decide());
+            scene.report("w2");
+            assertEquals(1, scene.starts().size());
+        }
+
+        @Test
+        void startsNewJobsAtOnce() {
+            scene.listWorker("w1", "r1-1").listWorker("w2", "r1-1");
+            scene.board.endInheritance();
+            scene.report("w1").submit(2, 1, step(1, 52_000, 270_000, 8));
+            assertEquals(1, scene.starts().size());
+        }
+
+        @Test
+        void adoptsWhatRuns() {
+            inherit(JobState.RUNNING);
+            scene.listWorker("w1", "r1-1").listWorker("w2", "r1-1");
+            scene.board.endInheritance();
+            scene.report("w1", running(task(1, 0), 77)).report("w2");
+            assertEquals(List.of(), scene.decide());
+            scene.end("w1", task(1, 0), 77, RunEnd.DONE, "");
+            scene.decide();
+            assertEquals(JobState.COMPLETED, stored(1));
+        }
+
+        @Test
+        void letsAGangRunWhoseOtherMembersAreNotTold() {
+            JobRequest request =
+                    new JobRequest(
+                            "x", List.of(step(2, 52_000, 270_000, 8).gang().build()), 0, 0, 0);
+            scene.board.putJob(
+                    new TaskJob(Scene.job(1), Scene.ORGANISATION, Scene.queue(1), 1, request),
+                    new JobProgress(JobState.RUNNING, List.of()));
+            scene.listWorker("w1", "r1-1").listWorker("w2", "r1-1").listWorker("w3", "r1-1");
+            scene.board.endInheritance();
+            scene.report("w1", running(task(1, 0), 77));
+            assertEquals(List.of(), scene.decide());
+            scene.report("w2", running(task(1, 1), 77));
+            assertEquals(List.of(), scene.decide());
+            scene.report("w3");
+            assertEquals(List.of(), scene.decide());
+        }
+
+        @Test
+        void stopsAGangOfWhichAMemberIsMissing() {
+            JobRequest request =
+                    new JobRequest(
+                            "x", List.of(step(2, 52_000, 270_000, 8).gang().build()), 0, 0, 0);
+            scene.board.putJob(
+                    new TaskJob(Scene.job(1), Scene.ORGANISATION, Scene.queue(1), 1, request),
+                    new JobProgress(JobState.RUNNING, List.of()));
+            scene.listWorker("w1", "r1-1").listWorker("w2", "r1-1");
+            scene.board.endInheritance();
+            scene.report("w1", running(task(1, 0), 77)).report("w2");
+            assertEquals(1, scene.stops().size());
+        }
+
+        @Test
+        void takesAWorkerThatIsLostForEmpty() {
+            inherit(JobState.RUNNING);
+            scene.listWorker("w1", "r1-1").listWorker("w2", "r1-1");
+            scene.board.endInheritance();
+            scene.report("w1");
+            scene.board.loseWorker(Scene.worker("w2"));
+            assertEquals(1, scene.starts().size());
+        }
+
+        @Test
+        void countsFailuresInWhateverOrderWorkersListThem() {
+            inherit(JobState.RUNNING);
+            scene.listWorker("w1", "r1-1").listWorker("w2", "r1-1").listWorker("w3", "r1-1");
+            scene.board.endInheritance();
+            scene.end("w2", task(1, 0), 79, RunEnd.FAILED, "");
+            scene.end("w3", task(1, 0), 78, RunEnd.FAILED, "");
+            scene.end("w1", task(1, 0), 77, RunEnd.FAILED, "");
+            assertEquals(List.of(), scene.decide());
+            assertEquals(JobState.FAILED, stored(1));
+        }
+
+        @Test
+        void countsAnEndThatIsListedTwiceOnce() {
+            inherit(JobState.RUNNING);
+            scene.listWorker("w1", "r1-1");
+            scene.board.endInheritance();
+            scene.end("w1", task(1, 0), 77, RunEnd.FAILED, "");
+            scene.end("w1", task(1, 0), 77, RunEnd.FAILED, "");
+            scene.end("w1", task(1, 0), 77, RunEnd.FAILED, "");
+            scene.decide();
+            assertNotEquals(JobState.FAILED, stored(1));
+        }
+    }
+}
