Waiting for the wanted rack may last as long as the detour costs

Cause: gangs that want one rack gave up after their estimate and then ran three times as long over several; the detour costs twice the estimate, so waiting pays up to that (15 s at most; urgent work 1.2 s, well inside the time in which a guarantee is met). The test that set 1 s now asserts that the gang first waits, then starts.

--- a/core/src/main/java/io/cardamomshelf/core/schedule/Placer.java
+++ b/core/src/main/java/io/cardamomshelf/core/schedule/Placer.java
@@ -22,15 +22,15 @@
 final class Placer {
 
     /** Waiting for the wanted rack pays while it is shorter than the estimate times this. */
-    private static final double PATIENCE_FACTOR = 1.0;
+    private static final double PATIENCE_FACTOR = 2.0;
 
     /** The shortest and longest wait for the wanted rack, in milliseconds. */
     private static final long MIN_PATIENCE_MILLIS = 500;
 
-    private static final long MAX_PATIENCE_MILLIS = 8_000;
+    private static final long MAX_PATIENCE_MILLIS = 15_000;
 
     /** How long the most urgent work waits for the wanted rack, in milliseconds. */
-    private static final long URGENT_PATIENCE_MILLIS = 600;
+    private static final long URGENT_PATIENCE_MILLIS = 1_200;
 
     private final RoomBook room;
     private final Moment now;
