Tickets of the placement advice; events of the platform on a page of their own

A step now asks once for the 30 workers with the most room, one call at a time, and starts only where it has a valid ticket (TicketBook, Advisor, AdviceTest).

--- a/core/src/main/java/io/cardamomshelf/core/schedule/Board.java
+++ b/core/src/main/java/io/cardamomshelf/core/schedule/Board.java
@@ -7,9 +7,12 @@
 import io.cardamomshelf.core.task.JobProgress;
 import io.cardamomshelf.core.task.JobState;
 import io.cardamomshelf.core.task.QueuePolicy;
+import io.cardamomshelf.core.task.StepId;
 import io.cardamomshelf.core.task.TaskJob;
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -41,6 +44,7 @@
     private final WorkerBook workers = new WorkerBook(jobs);
     private Map<OrganisationId, Integer> guarantees = Map.of();
     private Set<DataCentreId> closed = Set.of();
+    private final TicketBook tickets = new TicketBook();
     private Map<JobId, WaitReason> waits = Map.of();
     private long lastRun;
     private boolean inheriting = true;
@@ -107,6 +111,7 @@
      */
     public void forget(JobId id) {
         jobs.forget(id);
+        tickets.retain(jobs.steps());
     }
 
     /**
@@ -218,6 +223,51 @@
         return orders;
     }
 
+    /**
+     * Returns the steps that wait for advice since the last call.
+     *
+     * @return their identifiers, never null
+     */
+    public Set<StepId> takeUnadvised() {
+        return tickets.takeWanted();
+    }
+
+    /**
+     * Returns the workers to ask advice on for a step: the most room first.
+     *
+     * @param step the step, not null
+     * @param most the largest number
+     * @return the workers, never null; none if the step's job is over
+     */
+    public List<WorkerId> adviceCandidates(StepId step, int most) {
+        Optional<LiveJob> job = jobs.find(step.job()).filter(found -> !found.isEnded());
+        if (job.isEmpty()) {
+            return List.of();
+        }
+        String service = policy(job.get()).service();
+        return workers().stream()
+                .filter(worker -> worker.isListed() && worker.info().service().equals(service))
+                .filter(worker -> !closed.contains(worker.info().dataCentre()))
+                .sorted(Comparator.comparingInt(worker -> -worker.free().accelerators()))
+                .limit(most)
+                .map(WorkerState::id)
+                .toList();
+    }
+
+    /**
+     * Takes the tickets of a step.
+     *
+     * @param step the step, not null
+     * @param given the tickets by worker, not null
+     * @param untilMillis when they end, on the steady clock
+     */
+    public void putTickets(StepId step, Map<WorkerId, String> given, long untilMillis) {
+        Map<WorkerState, String> known = new HashMap<>();
+        given.forEach(
+                (id, ticket) -> workers.find(id).ifPresent(found -> known.put(found, ticket)));
+        tickets.put(step, known, untilMillis);
+    }
+
     /**
      * Returns the jobs of which something waited in the last round.
      *
@@ -318,7 +368,17 @@
         group.plus(run);
         worker.plus(run);
         String spec = group.owner().job().request().spec();
-        return new Order.Start(worker.id(), run.task, number, spec, group.checkpoint(index), "");
+        String ticket = ticket(group, worker, now.steadyMillis()).orElse("");
+        return new Order.Start(
+                worker.id(), run.task, number, spec, group.checkpoint(index), ticket);
+    }
+
+    Optional<String> ticket(TaskGroup group, WorkerState worker, long nowMillis) {
+        return tickets.find(group.id(), worker, nowMillis);
+    }
+
+    void wantTickets(TaskGroup group, Moment now) {
+        tickets.want(group.id(), now.steadyMillis());
     }
 
     Optional<Order> stop(Run run, Order.StopReason reason, Moment now) {
--- a/core/src/main/java/io/cardamomshelf/core/schedule/JobBook.java
+++ b/core/src/main/java/io/cardamomshelf/core/schedule/JobBook.java
@@ -4,6 +4,7 @@
 import io.cardamomshelf.core.task.JobProgress;
 import io.cardamomshelf.core.task.JobState;
 import io.cardamomshelf.core.task.QueuePolicy;
+import io.cardamomshelf.core.task.StepId;
 import io.cardamomshelf.core.task.TaskJob;
 import java.util.Collection;
 import java.util.LinkedHashMap;
@@ -57,6 +58,15 @@
         }
     }
 
+    /** The steps of all jobs that are known. */
+    Set<StepId> steps() {
+        Set<StepId> steps = new LinkedHashSet<>();
+        for (LiveJob job : jobs.values()) {
+            job.groups().forEach(group -> steps.add(group.id()));
+        }
+        return steps;
+    }
+
     void markChanged(JobId id) {
         changed.add(id);
     }
--- a/core/src/main/java/io/cardamomshelf/core/schedule/RoomBook.java
+++ b/core/src/main/java/io/cardamomshelf/core/schedule/RoomBook.java
@@ -12,14 +12,16 @@
 /** The room that a round may give away: what is free, less what the round holds for others. */
 final class RoomBook {
 
+    private final Board board;
     private final Collection<WorkerState> workers;
     private final Set<DataCentreId> closed;
     private final long nowMillis;
     private final Map<WorkerId, Resources> held = new HashMap<>();
 
-    RoomBook(Collection<WorkerState> workers, Set<DataCentreId> closed, long nowMillis) {
-        this.workers = workers;
-        this.closed = closed;
+    RoomBook(Board board, long nowMillis) {
+        this.board = board;
+        this.workers = board.workers();
+        this.closed = board.closed();
         this.nowMillis = nowMillis;
     }
 
@@ -42,7 +44,9 @@
     private boolean isAllowed(WorkerState worker, TaskGroup group, String service) {
         WorkerInfo info = worker.info();
         String label = group.spec().label();
+        boolean advised = board.policy(group.owner()).advised();
         return info.service().equals(service)
+                && (!advised || board.ticket(group, worker, nowMillis).isPresent())
                 && !closed.contains(info.dataCentre())
                 && (label.isEmpty() || info.labels().contains(label));
     }
--- a/core/src/main/java/io/cardamomshelf/core/schedule/Round.java
+++ b/core/src/main/java/io/cardamomshelf/core/schedule/Round.java
@@ -34,7 +34,7 @@
     Round(Board board, Moment now) {
         this.board = board;
         this.now = now;
-        this.room = new RoomBook(board.workers(), board.closed(), now.steadyMillis());
+        this.room = new RoomBook(board, now.steadyMillis());
         this.placer = new Placer(room, now);
     }
 
@@ -88,6 +88,9 @@
         if (waiting.isEmpty()) {
             return;
         }
+        if (policy(group).advised()) {
+            board.wantTickets(group, now);
+        }
         if (group.spec().gang()) {
             place(group, waiting);
         } else {
--- a/core/src/main/java/io/cardamomshelf/core/schedule/TaskGroup.java
+++ b/core/src/main/java/io/cardamomshelf/core/schedule/TaskGroup.java
@@ -1,6 +1,7 @@
 package io.cardamomshelf.core.schedule;
 
 import io.cardamomshelf.core.task.RunEnd;
+import io.cardamomshelf.core.task.StepId;
 import io.cardamomshelf.core.task.StepProgress;
 import io.cardamomshelf.core.task.StepProgress.Failures;
 import io.cardamomshelf.core.task.StepSpec;
@@ -58,6 +59,10 @@
         return readyMillis;
     }
 
+    StepId id() {
+        return StepId.of(owner.job().id(), occurrence, step);
+    }
+
     TaskId task(int index) {
         return TaskId.of(owner.job().id(), occurrence, step, index);
     }
--- /dev/null
+++ b/core/src/main/java/io/cardamomshelf/core/schedule/TicketBook.java
@@ -0,0 +1,65 @@
+package io.cardamomshelf.core.schedule;
+
+import io.cardamomshelf.core.base.WorkerId;
+import io.cardamomshelf.core.task.StepId;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.LinkedHashSet;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+/**
+ * The tickets by which steps of advised queues may start on workers.
+ *
+ * <p>Load it answers: advice is slow and one call at a time, so a step asks once for many workers
+ * and again only when its tickets run out; it starts only where it has one.
+ */
+final class TicketBook {
+
+    /**
+     * A ticket isn't used so shortly before its end that the start may come late, in milliseconds.
+     */
+    private static final long MARGIN_MILLIS = 300;
+
+    private record Ticket(String text, long bornMillis, long untilMillis) {}
+
+    private final Map<StepId, Map<WorkerId, Ticket>> tickets = new HashMap<>();
+    private final Map<StepId, Long> askedUntil = new HashMap<>();
+    private final Set<StepId> wanted = new LinkedHashSet<>();
+
+    void put(StepId step, Map<WorkerState, String> given, long untilMillis) {
+        Map<WorkerId, Ticket> byWorker = tickets.computeIfAbsent(step, any -> new HashMap<>());
+        given.forEach(
+                (worker, text) ->
+                        byWorker.put(
+                                worker.id(),
+                                new Ticket(text, worker.info().bornMillis(), untilMillis)));
+        askedUntil.put(step, untilMillis);
+    }
+
+    Optional<String> find(StepId step, WorkerState worker, long nowMillis) {
+        return Optional.ofNullable(tickets.getOrDefault(step, Map.of()).get(worker.id()))
+                .filter(ticket -> ticket.bornMillis() == worker.info().bornMillis())
+                .filter(ticket -> nowMillis + MARGIN_MILLIS < ticket.untilMillis())
+                .map(Ticket::text);
+    }
+
+    /** Notes that a step waits, and has nothing that is valid for long enough. */
+    void want(StepId step, long nowMillis) {
+        if (nowMillis + MARGIN_MILLIS >= askedUntil.getOrDefault(step, Long.MIN_VALUE)) {
+            wanted.add(step);
+        }
+    }
+
+    Set<StepId> takeWanted() {
+        Set<StepId> result = Set.copyOf(wanted);
+        wanted.clear();
+        return result;
+    }
+
+    void retain(Collection<StepId> live) {
+        tickets.keySet().retainAll(live);
+        askedUntil.keySet().retainAll(live);
+    }
+}
--- /dev/null
+++ b/core/src/test/java/io/cardamomshelf/core/schedule/AdviceTest.java
@@ -0,0 +1,91 @@
+package io.cardamomshelf.core.schedule;
+
+import static io.cardamomshelf.core.schedule.Scene.step;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import io.cardamomshelf.core.task.StepId;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+/** Steps of queues whose placement is advised from outside. */
+class AdviceTest {
+
+    private static final StepId STEP = StepId.of(Scene.job(1), 0, 0);
+
+    private final Scene scene = new Scene();
+
+    @BeforeEach
+    void setUp() {
+        scene.board.endInheritance();
+        scene.openWorker("w1", "r1-1").openWorker("w2", "r1-1");
+        scene.submitAdvised(1, step(1, 1_000, 1_000, 1));
+    }
+
+    private void advise(String worker, String ticket, long validMillis) {
+        scene.board.putTickets(
+                STEP,
+                Map.of(Scene.worker(worker), ticket),
+                scene.now().steadyMillis() + validMillis);
+    }
+
+    @Nested
+    class Tickets {
+
+        @Test
+        void areWaitedForAndCarriedByTheStart() {
+            assertEquals(List.of(), scene.decide());
+            assertEquals(Set.of(STEP), scene.board.takeUnadvised());
+            advise("w2", "t-2", 3_000);
+            Order.Start start = scene.starts().get(0);
+            assertEquals(Scene.worker("w2"), start.worker());
+            assertEquals("t-2", start.ticket());
+        }
+
+        @Test
+        void areAskedForAgainOnlyWhenTheyRunOut() {
+            scene.decide();
+            scene.board.takeUnadvised();
+            scene.board.putTickets(STEP, Map.of(), scene.now().steadyMillis() + 3_000);
+            scene.pass(1_000).decide();
+            assertEquals(Set.of(), scene.board.takeUnadvised());
+            scene.pass(2_000).decide();
+            assertEquals(Set.of(STEP), scene.board.takeUnadvised());
+        }
+
+        @Test
+        void areNotUsedOnceTheyAreOver() {
+            advise("w1", "t-1", 1_000);
+            scene.pass(800);
+            assertEquals(List.of(), scene.starts());
+        }
+
+        @Test
+        void endWithTheLifeOfTheWorker() {
+            advise("w1", "t-1", 60_000);
+            scene.restartWorker("w1");
+            assertEquals(List.of(), scene.starts());
+        }
+    }
+
+    @Nested
+    class Candidates {
+
+        @Test
+        void areTheWorkersWithTheMostRoom() {
+            scene.submit(2, 1, step(1, 1_000, 1_000, 4).near("r1-1"));
+            scene.startAll();
+            assertEquals(1, scene.board.adviceCandidates(STEP, 1).size());
+            assertEquals(2, scene.board.adviceCandidates(STEP, 30).size());
+        }
+
+        @Test
+        void areNoneForAJobThatIsOver() {
+            scene.board.cancel(Scene.job(1));
+            assertEquals(List.of(), scene.board.adviceCandidates(STEP, 30));
+        }
+    }
+}
--- a/core/src/test/java/io/cardamomshelf/core/schedule/Scene.java
+++ b/core/src/test/java/io/cardamomshelf/core/schedule/Scene.java
@@ -176,6 +176,14 @@
         return submit(id, priority, new JobRequest("x", specs, 0, 0, 0));
     }
 
+    Scene submitAdvised(int id, StepBuilder step) {
+        QueuePolicy policy = new QueuePolicy("advised", "rota", 1, 3, 3, 1_500, true);
+        JobRequest request = new JobRequest("x", List.of(step.build()), 0, 0, 0);
+        board.putJob(
+                new TaskJob(job(id), ORGANISATION, policy, nowMillis, request), JobProgress.QUEUED);
+        return this;
+    }
+
     Scene submit(int id, int priority, JobRequest request) {
         board.putJob(
                 new TaskJob(job(id), ORGANISATION, queue(priority), nowMillis, request),
--- a/node/src/main/java/io/cardamomshelf/node/Node.java
+++ b/node/src/main/java/io/cardamomshelf/node/Node.java
@@ -12,6 +12,7 @@
 import io.cardamomshelf.node.port.CallersProtocol;
 import io.cardamomshelf.node.port.KeyedStore;
 import io.cardamomshelf.node.port.KeyedStore.Stream;
+import io.cardamomshelf.node.port.PlacementAdvice;
 import io.cardamomshelf.node.port.RecordDecoder;
 import io.cardamomshelf.node.port.WorkerOrders;
 import io.cardamomshelf.node.schedule.Scheduling;
@@ -40,12 +41,14 @@
      * @param store its store, not null
      * @param decoder reads its own records, not null
      * @param orders calls to workers, not null
+     * @param advice calls to its placement advice, not null
      * @param callers the callers' names and formats, not null
      */
     public record Adapter(
             KeyedStore store,
             RecordDecoder decoder,
             WorkerOrders orders,
+            PlacementAdvice advice,
             CallersProtocol callers) {}
 
     /** Changes of operators are rare, and their proof must be young. */
@@ -106,6 +109,7 @@
                         timers,
                         adapter.store(),
                         adapter.orders(),
+                        adapter.advice(),
                         new Views(adapter.decoder()),
                         clock,
                         settings,
@@ -209,6 +213,7 @@
                 new MeteredStore(platform.store(), metrics, time),
                 platform.decoder(),
                 new MeteredOrders(platform.orders(), metrics),
+                platform.advice(),
                 platform.callers());
     }
 
--- a/node/src/main/java/io/cardamomshelf/node/event/NodeEvent.java
+++ b/node/src/main/java/io/cardamomshelf/node/event/NodeEvent.java
@@ -5,7 +5,7 @@
  *
  * <p>Use: {@code EventLog.of(NodeEvent.JOB_ACCEPTED).with("job", id).write()}. 1xxx process, 2xxx
  * configuration and store, 3xxx leadership, 4xxx calls, 5xxx jobs and runs, 6xxx workers. {@code
- * docs/EVENTS.md} is checked against this list.
+ * docs/PLATFORM-EVENTS.md} is checked against this list.
  *
  * <p>Immutable and thread-safe.
  */
@@ -56,6 +56,8 @@
     JOB_CANCELLED(5002, "A job's cancellation is stored and its caller was told."),
     /** Something of a job waits. */
     JOB_WAITING(5003, "Tasks of a job can't be placed now; the line says why."),
+    /** Advice came for a step. */
+    ADVICE_TAKEN(5004, "The placement advice answered for a step, or gave no answer (-1)."),
     /** A run was ordered. */
     RUN_ORDERED(5101, "The scheduler chose a worker for a task and ordered its start."),
     /** A start wasn't carried out. */
--- a/node/src/main/java/io/cardamomshelf/node/schedule/Reign.java
+++ b/node/src/main/java/io/cardamomshelf/node/schedule/Reign.java
@@ -18,6 +18,7 @@
 import io.cardamomshelf.node.metric.ServiceMetrics;
 import io.cardamomshelf.node.metric.ServiceMetrics.Name;
 import io.cardamomshelf.node.port.Configuration;
+import io.cardamomshelf.node.port.PlacementAdvice;
 import io.cardamomshelf.node.port.StoredRecord;
 import io.cardamomshelf.node.port.WorkerOrders;
 import io.cardamomshelf.node.store.JobRecords;
@@ -49,6 +50,7 @@
      * @param timers the event loop's timers
      * @param clock the time
      * @param orders calls to workers
+     * @param advice calls to the placement advice
      * @param settings the scheduler's times
      * @param metrics where to count
      * @param epoch the fencing token
@@ -57,6 +59,7 @@
             Timers timers,
             Clock clock,
             WorkerOrders orders,
+            PlacementAdvice advice,
             SchedulerSettings settings,
             ServiceMetrics metrics,
             long epoch) {}
@@ -77,6 +80,7 @@
     private final WorkersView workers;
     private final Runnable deposed;
     private final Board board;
+    private final Advisor advisor;
     private final Map<WorkerId, WorkerLink> links = new LinkedHashMap<>();
     private final Map<WorkerId, Long> sentEnds = new HashMap<>();
     private final Map<JobId, Long> endedSince = new HashMap<>();
@@ -100,6 +104,7 @@
         this.workers = workers;
         this.deposed = deposed;
         this.board = new Board(parts.epoch() * RUNS_PER_EPOCH);
+        this.advisor = new Advisor(parts, board, this::changed);
     }
 
     void begin() {
@@ -122,6 +127,7 @@
     /** Ends all calls to workers but not the log, which takes a last record. */
     void retire() {
         over = true;
+        advisor.close();
         links.values().forEach(WorkerLink::close);
     }
 
@@ -231,6 +237,7 @@
         for (Order order : board.decide(parts.clock().now())) {
             carryOut(order);
         }
+        advisor.look();
         logWaits();
         store();
         if (takingOver && board.unseen().isEmpty()) {
--- a/node/src/main/java/io/cardamomshelf/node/schedule/Scheduling.java
+++ b/node/src/main/java/io/cardamomshelf/node/schedule/Scheduling.java
@@ -12,6 +12,7 @@
 import io.cardamomshelf.node.port.AppendOutcome;
 import io.cardamomshelf.node.port.KeyedStore;
 import io.cardamomshelf.node.port.KeyedStore.Writer;
+import io.cardamomshelf.node.port.PlacementAdvice;
 import io.cardamomshelf.node.port.StoredRecord;
 import io.cardamomshelf.node.port.WorkerOrders;
 import io.cardamomshelf.node.settings.NodeSettings;
@@ -59,6 +60,7 @@
     private final Timers timers;
     private final KeyedStore store;
     private final WorkerOrders orders;
+    private final PlacementAdvice advice;
     private final Clock clock;
     private final NodeSettings settings;
     private final ServiceMetrics metrics;
@@ -81,6 +83,7 @@
      * @param timers the event loop's timers, not null
      * @param store the store, not null
      * @param orders calls to workers, not null
+     * @param advice calls to the placement advice, not null
      * @param views what was read of the store, not null
      * @param clock the time, not null
      * @param settings the machine's settings, not null
@@ -91,6 +94,7 @@
             Timers timers,
             KeyedStore store,
             WorkerOrders orders,
+            PlacementAdvice advice,
             Views views,
             Clock clock,
             NodeSettings settings,
@@ -99,6 +103,7 @@
         this.timers = timers;
         this.store = store;
         this.orders = orders;
+        this.advice = advice;
         this.clock = clock;
         this.settings = settings;
         this.metrics = metrics;
@@ -306,6 +311,7 @@
                         timers,
                         clock,
                         orders,
+                        advice,
                         SchedulerSettings.of(settings.bounds()),
                         metrics,
                         writer.epoch());
--- a/node/src/test/java/io/cardamomshelf/node/event/PagesTest.java
+++ b/node/src/test/java/io/cardamomshelf/node/event/PagesTest.java
@@ -21,7 +21,7 @@
 
         @Test
         void areAllOnThePage() throws IOException {
-            String page = Files.readString(Path.of("../docs/EVENTS.md"));
+            String page = Files.readString(Path.of("../docs/PLATFORM-EVENTS.md"));
             for (NodeEvent event : NodeEvent.values()) {
                 String row =
                         "| %d | `%s` | %s |"
--- a/node/src/test/java/io/cardamomshelf/node/schedule/SchedulingTest.java
+++ b/node/src/test/java/io/cardamomshelf/node/schedule/SchedulingTest.java
@@ -33,6 +33,7 @@
 import io.cardamomshelf.node.store.OperatorsView;
 import io.cardamomshelf.node.store.StreamFollower;
 import io.cardamomshelf.node.store.WorkersView;
+import io.smallrye.mutiny.Uni;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
@@ -97,6 +98,7 @@
                             time,
                             store,
                             workers,
+                            (step, asked, timeout) -> Uni.createFrom().item(Optional.empty()),
                             new Views(),
                             time,
                             settings(name),
