--- a/core/src/main/java/io/cardamomshelf/core/schedule/WorkerInfo.java
+++ b/core/src/main/java/io/cardamomshelf/core/schedule/WorkerInfo.java
@@ -51,4 +51,24 @@
         Checks.notNull("capacity", capacity);
         labels = List.copyOf(labels);
     }
+
+    /**
+     * Makes the entry of a later incarnation of which nothing else is known yet.
+     *
+     * @param millis when it started, in milliseconds since 1970
+     * @return the entry, never null
+     */
+    public WorkerInfo withBornMillis(long millis) {
+        return new WorkerInfo(
+                id,
+                millis,
+                service,
+                endpoint,
+                dataCentre,
+                rack,
+                labels,
+                capacity,
+                draining,
+                clockMillis);
+    }
 }
--- a/core/src/main/java/io/cardamomshelf/core/schedule/WorkerState.java
+++ b/core/src/main/java/io/cardamomshelf/core/schedule/WorkerState.java
@@ -107,18 +107,7 @@
     }
 
     void beginIncarnation(long bornMillis) {
-        info =
-                new WorkerInfo(
-                        info.id(),
-                        bornMillis,
-                        info.service(),
-                        info.endpoint(),
-                        info.dataCentre(),
-                        info.rack(),
-                        info.labels(),
-                        info.capacity(),
-                        info.draining(),
-                        info.clockMillis());
+        info = info.withBornMillis(bornMillis);
         lastEnd = 0;
         failures = 0;
     }
--- a/node/src/main/java/io/cardamomshelf/node/schedule/Scheduling.java
+++ b/node/src/main/java/io/cardamomshelf/node/schedule/Scheduling.java
@@ -66,7 +66,7 @@
     private final ServiceMetrics metrics;
     private final LongSupplier position;
     private final Random random;
-    private final ElectionTimer timer;
+    private final ElectionTimer election;
     private final JobsView jobs;
     private final WorkersView workers;
     private final OperatorsView operators;
@@ -109,7 +109,7 @@
         this.metrics = metrics;
         this.position = position;
         this.random = new Random(settings.name().hashCode() * 31L + clock.now().wallMillis());
-        this.timer = new ElectionTimer(SILENCE_MILLIS + random.nextInt(JITTER_MILLIS));
+        this.election = new ElectionTimer(SILENCE_MILLIS + random.nextInt(JITTER_MILLIS));
         this.jobs = views.jobs(this);
         this.workers = views.workers(this);
         this.operators = views.operators();
@@ -202,11 +202,11 @@
 
     @Override
     public void leaderSeen(JobRecords.Leader leader) {
-        timer.heard(clock.steadyMillis());
+        election.heard(clock.steadyMillis());
         boolean idle = reign == null && waiting == null && !standing;
         if (leader.resigned() || idle && leader.holder().equals(settings.name())) {
             // A record of this machine's that isn't of this process is of one that has ended.
-            timer.resigned();
+            election.resigned();
         }
         if (!leader.equals(lastSeen)) {
             lastSeen = leader;
@@ -221,7 +221,7 @@
                     .with("epoch", reign.epoch())
                     .with("cause", leader.holder() + " took epoch " + leader.epoch())
                     .write();
-            deposed(reign);
+            deposed(reign.epoch());
         }
         if (waiting != null && leader.epoch() > waiting.epoch()) {
             waiting = null;
@@ -230,7 +230,7 @@
 
     @Override
     public void caughtUp() {
-        timer.proven(clock.steadyMillis());
+        election.proven(clock.steadyMillis());
         if (waiting != null && position.getAsLong() > electedAt) {
             reign = waiting;
             waiting = null;
@@ -261,7 +261,7 @@
     private void watch() {
         boolean free = reign == null && waiting == null && !standing && !stopped;
         boolean ready = operators.configuration().isPresent() && !workers.listed().isEmpty();
-        if (free && ready && timer.mayStand(clock.steadyMillis())) {
+        if (free && ready && election.mayStand(clock.steadyMillis())) {
             standing = true;
             long epoch = jobs.leader().map(JobRecords.Leader::epoch).orElse(0L) + 1;
             stand(epoch, random.nextInt(SEQUENCES), 1);
@@ -285,7 +285,7 @@
             stand(writer.epoch(), writer.sequence(), attempt + 1);
         } else {
             standing = false;
-            timer.heard(clock.steadyMillis());
+            election.heard(clock.steadyMillis());
             metrics.count(Name.ELECTIONS, "missed");
             EventLog.of(NodeEvent.LEADERSHIP_MISSED)
                     .with("epoch", writer.epoch())
@@ -298,14 +298,9 @@
         if (stopped || jobs.leader().map(JobRecords.Leader::epoch).orElse(0L) > writer.epoch()) {
             return;
         }
-        Reign[] self = new Reign[1];
+        long epoch = writer.epoch();
         SchedulerLog log =
-                new SchedulerLog(
-                        timers,
-                        store,
-                        writer.epoch(),
-                        writer.sequence() + 1,
-                        () -> deposed(self[0]));
+                new SchedulerLog(timers, store, epoch, writer.sequence() + 1, () -> deposed(epoch));
         Reign.Parts parts =
                 new Reign.Parts(
                         timers,
@@ -314,20 +309,19 @@
                         advice,
                         SchedulerSettings.of(settings.bounds()),
                         metrics,
-                        writer.epoch());
-        self[0] = new Reign(parts, log, jobs, operators, workers, () -> deposed(self[0]));
+                        epoch);
+        waiting = new Reign(parts, log, jobs, operators, workers, () -> deposed(epoch));
         electedAt = offset;
-        waiting = self[0];
         if (position.getAsLong() > offset) {
             caughtUp();
         }
     }
 
-    private void deposed(Reign old) {
-        old.end();
-        if (reign == old) {
+    private void deposed(long epoch) {
+        if (reign != null && reign.epoch() == epoch) {
+            reign.end();
             reign = null;
-            timer.heard(clock.steadyMillis());
+            election.heard(clock.steadyMillis());
         }
     }
 
--- a/node/src/main/java/io/cardamomshelf/node/settings/NodeSettings.java
+++ b/node/src/main/java/io/cardamomshelf/node/settings/NodeSettings.java
@@ -33,18 +33,14 @@
      * @param visibleMillis after this an accepted job must be known everywhere, in milliseconds
      * @param graceMillis the time between SIGTERM and SIGKILL, in milliseconds
      * @param maxLeaseMillis the longest lease that workers grant, in milliseconds
-     * @param gangMillis how long a member waits for its gang, in milliseconds
      * @param stateKeptMillis how long a job that is over must be known, in milliseconds
-     * @param heartbeatMillis how often a worker renews its registry entry, in milliseconds
      */
     public record Bounds(
             long revokeMillis,
             long visibleMillis,
             long graceMillis,
             long maxLeaseMillis,
-            long gangMillis,
-            long stateKeptMillis,
-            long heartbeatMillis) {
+            long stateKeptMillis) {
 
         /**
          * Creates bounds.
@@ -56,9 +52,7 @@
             Checks.range("visibleMillis", visibleMillis, 1, Long.MAX_VALUE);
             Checks.range("graceMillis", graceMillis, 1, Long.MAX_VALUE);
             Checks.range("maxLeaseMillis", maxLeaseMillis, 1, Long.MAX_VALUE);
-            Checks.range("gangMillis", gangMillis, 1, Long.MAX_VALUE);
             Checks.range("stateKeptMillis", stateKeptMillis, 1, Long.MAX_VALUE);
-            Checks.range("heartbeatMillis", heartbeatMillis, 1, Long.MAX_VALUE);
         }
     }
 
--- a/node/src/test/java/io/cardamomshelf/node/schedule/SchedulingTest.java
+++ b/node/src/test/java/io/cardamomshelf/node/schedule/SchedulingTest.java
@@ -151,7 +151,7 @@
                 NOWHERE,
                 NOWHERE,
                 NOWHERE,
-                new NodeSettings.Bounds(5_000, 3_000, 6_000, 10_000, 3_000, 120_000, 1_500));
+                new NodeSettings.Bounds(5_000, 3_000, 6_000, 10_000, 120_000));
     }
 
     private void setUp(String... names) {
--- a/sessions/src/main/java/io/cardamomshelf/sessions/PlatformDeployment.java
+++ b/sessions/src/main/java/io/cardamomshelf/sessions/PlatformDeployment.java
@@ -145,6 +145,17 @@
         return http.send(method, url, body, "Api-Key", key);
     }
 
+    /**
+     * Replaces a machine's settings file by other text, as the platform does while it runs.
+     *
+     * @param machine its name, not null
+     * @param text the text, not null
+     * @throws SessionException if it can't be written
+     */
+    public void rewriteSettings(String machine, String text) throws SessionException {
+        write(folder.resolve(machine + ".conf"), text);
+    }
+
     /**
      * Asks whether a machine says that it is ready.
      *
@@ -251,12 +262,10 @@
                         "listen.frontend=" + HOST + ":" + callers,
                         "listen.ready_address=" + HOST + ":" + ready,
                         "internal_ports=" + freePort() + ",0",
-                        "heartbeat_ms=500",
                         "bounds.revoke_ms=5000",
                         "bounds.visible_ms=3000",
                         "bounds.grace_s=6",
                         "bounds.max_hold_ms=10000",
-                        "bounds.gang_timeout_ms=3000",
                         "bounds.status_s=120",
                         "platform.address=" + store()));
     }
--- a/sessions/src/test/java/io/cardamomshelf/sessions/PlatformSessionTest.java
+++ b/sessions/src/test/java/io/cardamomshelf/sessions/PlatformSessionTest.java
@@ -159,4 +159,24 @@
             }
         }
     }
+
+    @Nested
+    class Settings {
+
+        @Test
+        void thatChangeEndNoProcess(@TempDir Path folder) throws SessionException {
+            try (PlatformDeployment deployment = PlatformDeployment.start(folder, 2)) {
+                startTwo(deployment);
+                deployment.process("n1").signal("HUP");
+                Wait.until("read", () -> deployment.logText("n1").contains("unchanged"));
+                deployment.rewriteSettings("n1", "node_name=");
+                deployment.process("n1").signal("HUP");
+                Wait.until(
+                        "refused",
+                        () -> deployment.logText("n1").contains("node_name: is missing"));
+                assertTrue(deployment.process("n1").isAlive());
+                assertEquals(410, deployment.call("n1", "GET", JOB, null).status());
+            }
+        }
+    }
 }
