A job that no worker could ever run is refused at once

Cause: a task larger than any worker, or with a label that none has, was accepted and waited until its caller gave up. Servability looks at the registered workers one by one; nothing is refused while none is known. Tests: ServabilityTest, PlatformSessionTest. Also: a process that is told to stop between its election and its reign doesn't begin the reign.

--- /dev/null
+++ b/core/src/test/java/io/cardamomshelf/core/schedule/ServabilityTest.java
@@ -0,0 +1,69 @@
+package io.cardamomshelf.core.schedule;
+
+import static io.cardamomshelf.core.schedule.Scene.step;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.cardamomshelf.core.base.DataCentreId;
+import io.cardamomshelf.core.base.Endpoint;
+import io.cardamomshelf.core.base.WorkerId;
+import io.cardamomshelf.core.task.JobRequest;
+import java.util.List;
+import java.util.Optional;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+/** Which jobs are refused since no worker could ever run them. */
+class ServabilityTest {
+
+    private static final WorkerInfo WORKER =
+            new WorkerInfo(
+                    WorkerId.of("w"),
+                    1,
+                    "rota",
+                    Endpoint.parse("127.0.0.1:80"),
+                    DataCentreId.of("jhb-a"),
+                    "r1-1",
+                    List.of("a", "r1-1"),
+                    Scene.WORKER,
+                    true,
+                    0);
+
+    private static Optional<String> obstacle(List<WorkerInfo> workers, Scene.StepBuilder... steps) {
+        JobRequest request =
+                new JobRequest(
+                        "x",
+                        List.of(steps).stream().map(Scene.StepBuilder::build).toList(),
+                        0,
+                        0,
+                        0);
+        return Servability.obstacle(request, "rota", workers);
+    }
+
+    @Nested
+    class AJob {
+
+        @Test
+        void thatFitsIsServable() {
+            assertEquals(
+                    Optional.empty(), obstacle(List.of(WORKER), step(500, 128_000, 512_000, 8)));
+        }
+
+        @Test
+        void withATaskLargerThanAnyWorkerIsNot() {
+            Optional<String> found = obstacle(List.of(WORKER), step(1, 1, 1, 1), step(1, 1, 1, 9));
+            assertTrue(found.orElseThrow().contains("step 1"), found.toString());
+        }
+
+        @Test
+        void withALabelThatNoWorkerHasIsNot() {
+            assertTrue(obstacle(List.of(WORKER), step(1, 1, 1, 1).label("b")).isPresent());
+            assertTrue(obstacle(List.of(WORKER), step(1, 1, 1, 1).label("a")).isEmpty());
+        }
+
+        @Test
+        void isNotRefusedWhileNoWorkerIsKnown() {
+            assertEquals(Optional.empty(), obstacle(List.of(), step(1, 1, 1, 9)));
+        }
+    }
+}
--- a/node/src/main/java/io/cardamomshelf/node/Node.java
+++ b/node/src/main/java/io/cardamomshelf/node/Node.java
@@ -125,6 +125,7 @@
                         adapter.store(),
                         operators,
                         jobs,
+                        workers,
                         clock,
                         settings.bounds(),
                         metrics,
--- a/node/src/main/java/io/cardamomshelf/node/ingress/Answer.java
+++ b/node/src/main/java/io/cardamomshelf/node/ingress/Answer.java
@@ -19,6 +19,7 @@
     static final int METHOD_NOT_ALLOWED = 405;
     static final int GONE = 410;
     static final int TOO_LARGE = 413;
+    static final int TOO_MANY = 429;
     static final int UNAVAILABLE = 503;
     static final int OUTCOME_UNKNOWN = 504;
 
--- a/node/src/main/java/io/cardamomshelf/node/ingress/CallersServer.java
+++ b/node/src/main/java/io/cardamomshelf/node/ingress/CallersServer.java
@@ -15,6 +15,7 @@
 import io.cardamomshelf.node.settings.NodeSettings;
 import io.cardamomshelf.node.store.JobsView;
 import io.cardamomshelf.node.store.OperatorsView;
+import io.cardamomshelf.node.store.WorkersView;
 import io.smallrye.mutiny.Uni;
 import io.vertx.core.http.HttpMethod;
 import io.vertx.core.http.HttpServerOptions;
@@ -62,6 +63,7 @@
      * @param store the store, not null
      * @param operators the configuration, not null
      * @param jobs the jobs, not null
+     * @param workers the workers that are registered, not null
      * @param clock the time, not null
      * @param bounds the promised times, not null
      * @param metrics where to count, not null
@@ -74,6 +76,7 @@
             KeyedStore store,
             OperatorsView operators,
             JobsView jobs,
+            WorkersView workers,
             Clock clock,
             NodeSettings.Bounds bounds,
             ServiceMetrics metrics,
@@ -87,7 +90,7 @@
         this.freshness = new Freshness(bounds, configurationAgeMillis, jobsAgeMillis);
         CallerAppend append =
                 new CallerAppend(Timers.of(vertx), store, clock, freshness::isStoreReachable);
-        this.desk = new JobDesk(protocol, jobs, append, freshness, clock);
+        this.desk = new JobDesk(protocol, jobs, workers, append, freshness, clock);
     }
 
     /**
--- a/node/src/main/java/io/cardamomshelf/node/ingress/JobDesk.java
+++ b/node/src/main/java/io/cardamomshelf/node/ingress/JobDesk.java
@@ -1,6 +1,7 @@
 package io.cardamomshelf.node.ingress;
 
 import io.cardamomshelf.core.base.JobId;
+import io.cardamomshelf.core.schedule.Servability;
 import io.cardamomshelf.core.task.JobRequest;
 import io.cardamomshelf.core.task.JobState;
 import io.cardamomshelf.core.task.TaskJob;
@@ -13,6 +14,7 @@
 import io.cardamomshelf.node.port.StoredRecord;
 import io.cardamomshelf.node.store.JobRecords;
 import io.cardamomshelf.node.store.JobsView;
+import io.cardamomshelf.node.store.WorkersView;
 import io.smallrye.mutiny.Uni;
 import java.util.Optional;
 
@@ -24,11 +26,15 @@
  */
 final class JobDesk {
 
+    /** When to try again what no worker could run, in seconds: workers join within such a time. */
+    private static final int UNSERVABLE_RETRY_SECONDS = 10;
+
     /** When to try the store again, in seconds: outages end within seconds. */
     private static final int RETRY_SECONDS = 1;
 
     private final CallersProtocol protocol;
     private final JobsView jobs;
+    private final WorkersView workers;
     private final CallerAppend append;
     private final Freshness freshness;
     private final Clock clock;
@@ -36,11 +42,13 @@
     JobDesk(
             CallersProtocol protocol,
             JobsView jobs,
+            WorkersView workers,
             CallerAppend append,
             Freshness freshness,
             Clock clock) {
         this.protocol = protocol;
         this.jobs = jobs;
+        this.workers = workers;
         this.append = append;
         this.freshness = freshness;
         this.clock = clock;
@@ -64,6 +72,15 @@
         } catch (MalformedException e) {
             return refusal(Answer.BAD_REQUEST, e.getMessage());
         }
+        Optional<String> obstacle =
+                Servability.obstacle(request, call.route().policy().service(), workers.listed());
+        if (obstacle.isPresent()) {
+            return item(
+                    new Answer(
+                            Answer.TOO_MANY,
+                            protocol.refusal(obstacle.get()),
+                            UNSERVABLE_RETRY_SECONDS));
+        }
         TaskJob job =
                 new TaskJob(
                         id,
--- a/node/src/main/java/io/cardamomshelf/node/schedule/Scheduling.java
+++ b/node/src/main/java/io/cardamomshelf/node/schedule/Scheduling.java
@@ -144,8 +144,8 @@
 
     /** Starts to watch for a scheduler. */
     public void start() {
-        timers.every(WATCH_MILLIS, () -> watch());
-        timers.every(HEARTBEAT_MILLIS, () -> beat());
+        timers.every(WATCH_MILLIS, this::watch);
+        timers.every(HEARTBEAT_MILLIS, this::beat);
     }
 
     /**
@@ -155,6 +155,7 @@
      */
     public Uni<Void> resign() {
         stopped = true;
+        waiting = null;
         if (reign == null) {
             return Uni.createFrom().voidItem();
         }
--- a/sessions/src/test/java/io/cardamomshelf/sessions/PlatformSessionTest.java
+++ b/sessions/src/test/java/io/cardamomshelf/sessions/PlatformSessionTest.java
@@ -121,6 +121,17 @@
             }
         }
 
+        @Test
+        void aTaskThatNoWorkerCouldRunIsRefusedAtOnce(@TempDir Path folder)
+                throws SessionException {
+            try (PlatformDeployment deployment = PlatformDeployment.start(folder, 2)) {
+                startTwo(deployment);
+                String large = body("ms=10", 1).replace("\"gpus\":1", "\"gpus\":9");
+                assertEquals(429, deployment.call("n1", "POST", JOB, large).status());
+                assertEquals(410, deployment.call("n1", "GET", JOB, null).status());
+            }
+        }
+
         @Test
         void aRevokedKeyIsRefused(@TempDir Path folder) throws SessionException {
             try (PlatformDeployment deployment = PlatformDeployment.start(folder, 2)) {
