A fresh scheduler waits for leases of workers that it can't know

What was inherited and isn't accounted for now waits until the longest older lease is over, if the process has watched the registry for less than a lease. Test: SchedulingTest, red before. Price: after a loss of power of all machines, inherited waiting tasks start up to some 4 s later; new jobs and running ones don't wait.

--- a/core/src/main/java/io/cardamomshelf/core/schedule/Board.java
+++ b/core/src/main/java/io/cardamomshelf/core/schedule/Board.java
@@ -48,6 +48,7 @@
     private Map<JobId, WaitReason> waits = Map.of();
     private long lastRun;
     private boolean inheriting = true;
+    private boolean strangers;
 
     /**
      * Creates an empty board.
@@ -63,6 +64,25 @@
         inheriting = false;
     }
 
+    /**
+     * Says whether workers that aren't registered now may still run what an earlier scheduler gave
+     * them; while they may, nothing inherited is started.
+     *
+     * @param possible true while their leases may last
+     */
+    public void expectStrangers(boolean possible) {
+        strangers = possible;
+    }
+
+    /**
+     * Asks whether all that was inherited is accounted for.
+     *
+     * @return true once every worker has told, or has lapsed
+     */
+    public boolean isAccountedFor() {
+        return workers.unseen().isEmpty() && !strangers;
+    }
+
     /**
      * Sets what the configuration says.
      *
@@ -360,7 +380,7 @@
 
     /** An inherited job may run on a worker that hasn't told yet. */
     boolean isUncertain(LiveJob job) {
-        return job.isInherited() && !workers.unseen().isEmpty();
+        return job.isInherited() && !isAccountedFor();
     }
 
     Order.Start start(TaskGroup group, int index, WorkerState worker, long number, Moment now) {
--- a/node/src/main/java/io/cardamomshelf/node/schedule/Reign.java
+++ b/node/src/main/java/io/cardamomshelf/node/schedule/Reign.java
@@ -74,6 +74,7 @@
     private static final long CLEANING_MILLIS = 5_000;
 
     private final Parts parts;
+    private final long strangersUntilMillis;
     private final SchedulerLog log;
     private final JobsView jobs;
     private final OperatorsView operators;
@@ -90,14 +91,17 @@
     private boolean over;
     private boolean takingOver = true;
 
+    /** Workers that aren't registered may hold leases of an earlier scheduler until a time. */
     Reign(
             Parts parts,
+            long strangersUntilMillis,
             SchedulerLog log,
             JobsView jobs,
             OperatorsView operators,
             WorkersView workers,
             Runnable deposed) {
         this.parts = parts;
+        this.strangersUntilMillis = strangersUntilMillis;
         this.log = log;
         this.jobs = jobs;
         this.operators = operators;
@@ -118,12 +122,29 @@
             addWorker(info, inherited);
             board.removeWorker(info.id());
         }
+        awaitStrangers();
         board.endInheritance();
         links.values().forEach(WorkerLink::kick);
         tick();
         cleanLater();
     }
 
+    /** A process that has just started can't know workers whose entries lapsed before. */
+    private void awaitStrangers() {
+        long left = strangersUntilMillis - parts.clock().steadyMillis();
+        if (left <= 0) {
+            return;
+        }
+        board.expectStrangers(true);
+        parts.timers()
+                .after(
+                        left,
+                        () -> {
+                            board.expectStrangers(false);
+                            changed();
+                        });
+    }
+
     /** Ends all calls to workers but not the log, which takes a last record. */
     void retire() {
         over = true;
@@ -240,7 +261,7 @@
         advisor.look();
         logWaits();
         store();
-        if (takingOver && board.unseen().isEmpty()) {
+        if (takingOver && board.isAccountedFor()) {
             takingOver = false;
             EventLog.of(NodeEvent.TAKEOVER_COMPLETE)
                     .with("epoch", epoch())
--- a/node/src/test/java/io/cardamomshelf/node/schedule/SchedulingTest.java
+++ b/node/src/test/java/io/cardamomshelf/node/schedule/SchedulingTest.java
@@ -333,6 +333,27 @@
             assertEquals(1, workers.starts.size());
         }
 
+        @Test
+        void outOfColdStartsWaitForLeasesOfWorkersWhoseEntriesHaveLapsed() {
+            setUp("w1");
+            Process one = new Process("one");
+            time.pass(4_000);
+            submit(1, false);
+            time.pass(1_000);
+            workers.cut.add(WorkerId.of("w1"));
+            store.write(Stream.WORKERS, record("w2"));
+            store.write(Stream.WORKERS, StoredRecord.dropped("w1"));
+            one.scheduling.resign().subscribe().with(done -> {});
+            time.pass(500);
+            Process two = new Process("two");
+            time.pass(3_000);
+            assertTrue(two.scheduling.isLeading());
+            assertEquals(1, workers.starts.size());
+            time.pass(4_000);
+            assertEquals(2, workers.starts.size());
+            assertEquals(List.of(), workers.overlaps);
+        }
+
         @Test
         void followOnAfterTheHistoryWasDropped() {
             setUp("w1");
