--- a/sessions/src/test/java/io/cardamomshelf/sessions/PlatformSessionTest.java
+++ b/sessions/src/test/java/io/cardamomshelf/sessions/PlatformSessionTest.java
@@ -184,7 +184,10 @@
                 deployment.process("n1").signal("HUP");
                 Wait.until(
                         "refused",
-                        () -> deployment.logText("n1").contains("node_name: is missing"));
+                        () ->
+                                deployment
+                                        .logText("n1")
+                                        .contains("n1.conf: bounds.revoke_ms: is missing"));
                 assertTrue(deployment.process("n1").isAlive());
                 assertEquals(410, deployment.call("n1", "GET", JOB, null).status());
             }
