What a stop saved is stored, so a new scheduler goes on from it

Cause: found by reading: the saved progress that a stopped run's end carries was kept in memory only, though the stored progress has a place for it; after a change of scheduler between the stop and the next start the work began anew. Ruled out: losing what running tasks have saved (workers list that again). An end with new saved progress now counts as a change, and a finished gang's is dropped. Test: TakeoverTest goesOnFromWhatAStopSaved, red before. Price: one append, batched, for each end of a stopped run; not measured apart.

--- a/core/src/main/java/io/cardamomshelf/core/schedule/TaskGroup.java
+++ b/core/src/main/java/io/cardamomshelf/core/schedule/TaskGroup.java
@@ -113,10 +113,11 @@
         return checkpoints.getOrDefault(slot(index), "");
     }
 
-    void save(int index, String checkpoint) {
-        if (!checkpoint.isEmpty()) {
-            checkpoints.put(slot(index), checkpoint);
-        }
+    /** Keeps saved progress; returns whether it is new. */
+    boolean save(int index, String checkpoint) {
+        return !checkpoint.isEmpty()
+                && !done.get(index)
+                && !checkpoint.equals(checkpoints.put(slot(index), checkpoint));
     }
 
     /** Counts how a run ended; returns whether that changes what is to be stored. */
@@ -143,7 +144,7 @@
     }
 
     boolean isTouched() {
-        return !done.isEmpty() || !failures.isEmpty();
+        return !done.isEmpty() || !failures.isEmpty() || !checkpoints.isEmpty();
     }
 
     StepProgress progress() {
@@ -161,8 +162,8 @@
             done.set(0, spec.count());
         } else {
             done.set(index);
-            checkpoints.remove(index);
         }
+        checkpoints.remove(slot(index));
     }
 
     private int slot(int index) {
--- a/core/src/main/java/io/cardamomshelf/core/schedule/WorkerBook.java
+++ b/core/src/main/java/io/cardamomshelf/core/schedule/WorkerBook.java
@@ -166,9 +166,9 @@
     }
 
     private void count(TaskGroup group, WorkerLists.Ended ended) {
-        group.save(ended.task().index(), ended.checkpoint());
+        boolean saved = group.save(ended.task().index(), ended.checkpoint());
         boolean counted = group.plusEnd(ended.task(), ended.run(), ended.end());
-        if (counted && !group.owner().isEnded()) {
+        if ((saved || counted) && !group.owner().isEnded()) {
             group.owner().begin();
             jobs.markChanged(ended.task().job());
         }
--- a/core/src/test/java/io/cardamomshelf/core/schedule/TakeoverTest.java
+++ b/core/src/test/java/io/cardamomshelf/core/schedule/TakeoverTest.java
@@ -100,6 +100,18 @@
             assertEquals(1, scene.starts().size());
         }
 
+        @Test
+        void goesOnFromWhatAStopSaved() {
+            scene.board.endInheritance();
+            scene.openWorker("w1", "r1-1");
+            scene.submit(1, 1, step(1, 52_000, 270_000, 8).checkpointing());
+            Order.Start start = scene.startAll().get(0);
+            scene.board.takeChanged();
+            scene.end("w1", start.task(), start.run(), RunEnd.STOPPED, "saved");
+            JobProgress stored = scene.board.takeChanged().get(Scene.job(1));
+            assertEquals("saved", stored.steps().get(0).checkpoints().get(0));
+        }
+
         @Test
         void countsFailuresInWhateverOrderWorkersListThem() {
             inherit(step(1, 52_000, 270_000, 8));
