A fresh scheduler asks the workers that may have runs, and waits for no others

Also a worker that had left up to 15 s before was waited for. Now the scheduler stores each worker (`w:ID`) before its first run and drops it when it is gone; the wait of a fresh process and the memory of gone entries are removed. Ruled out: storing each start before it is ordered (nothing could start while the store is away). Test: SchedulingTest "outOfColdStartInheritedWorkAtOnce...", "knowEveryWorkerThatMayHaveRuns", both red before.

--- a/core/src/main/java/io/cardamomshelf/core/schedule/Board.java
+++ b/core/src/main/java/io/cardamomshelf/core/schedule/Board.java
@@ -48,7 +48,6 @@
     private Map<JobId, WaitReason> waits = Map.of();
     private long lastRun;
     private boolean inheriting = true;
-    private boolean strangers;
 
     /**
      * Creates an empty board.
@@ -64,23 +63,13 @@
         inheriting = false;
     }
 
-    /**
-     * Says whether workers that aren't registered now may still run what an earlier scheduler gave
-     * them; while they may, nothing inherited is started.
-     *
-     * @param possible true while their leases may last
-     */
-    public void expectStrangers(boolean possible) {
-        strangers = possible;
-    }
-
     /**
      * Asks whether all that was inherited is accounted for.
      *
      * @return true once every worker has told, or has lapsed
      */
     public boolean isAccountedFor() {
-        return workers.unseen().isEmpty() && !strangers;
+        return workers.unseen().isEmpty();
     }
 
     /**
@@ -143,6 +132,15 @@
         workers.put(info, inheriting);
     }
 
+    /**
+     * Opens a worker to starts, once the next scheduler would know of it.
+     *
+     * @param id the worker, not null
+     */
+    public void admit(WorkerId id) {
+        workers.find(id).ifPresent(worker -> worker.admitted = true);
+    }
+
     /**
      * Notes that a worker has left the registry; its runs stay until they are known to be over.
      *
--- a/core/src/main/java/io/cardamomshelf/core/schedule/ElectionTimer.java
+++ b/core/src/main/java/io/cardamomshelf/core/schedule/ElectionTimer.java
@@ -64,15 +64,6 @@
         provenMillis = nowMillis;
     }
 
-    /**
-     * Returns the latest time at which the scheduler may have been alive, as far as is known.
-     *
-     * @return the steady clock, in milliseconds
-     */
-    public long lastSignMillis() {
-        return heardMillis;
-    }
-
     /**
      * Asks whether to stand now.
      *
--- a/core/src/main/java/io/cardamomshelf/core/schedule/WorkerState.java
+++ b/core/src/main/java/io/cardamomshelf/core/schedule/WorkerState.java
@@ -35,6 +35,9 @@
     /** False until the worker has told its runs to this board. */
     boolean reported;
 
+    /** True once a next scheduler would know that it may have runs. */
+    boolean admitted;
+
     /** True while its calls get no answer. */
     boolean silent;
 
@@ -64,7 +67,12 @@
     }
 
     boolean isOpen(long nowMillis) {
-        return listed && reported && !silent && !info.draining() && nowMillis >= restsUntilMillis;
+        return listed
+                && admitted
+                && reported
+                && !silent
+                && !info.draining()
+                && nowMillis >= restsUntilMillis;
     }
 
     Resources free() {
--- a/core/src/test/java/io/cardamomshelf/core/schedule/Scene.java
+++ b/core/src/test/java/io/cardamomshelf/core/schedule/Scene.java
@@ -159,6 +159,7 @@
                         WORKER,
                         false,
                         0));
+        board.admit(id);
         return this;
     }
 
--- a/node/src/main/java/io/cardamomshelf/node/schedule/Reign.java
+++ b/node/src/main/java/io/cardamomshelf/node/schedule/Reign.java
@@ -33,6 +33,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.stream.Collectors;
 
 /**
  * One process's time as scheduler: from its election until it resigns or is deposed.
@@ -74,7 +75,6 @@
     private static final long CLEANING_MILLIS = 5_000;
 
     private final Parts parts;
-    private final long strangersUntilMillis;
     private final SchedulerLog log;
     private final JobsView jobs;
     private final OperatorsView operators;
@@ -82,6 +82,7 @@
     private final Runnable deposed;
     private final Board board;
     private final Advisor advisor;
+    private final RosterKeeper roster;
     private final Map<WorkerId, WorkerLink> links = new LinkedHashMap<>();
     private final Map<WorkerId, Long> sentEnds = new HashMap<>();
     private final Map<JobId, Long> endedSince = new HashMap<>();
@@ -91,17 +92,14 @@
     private boolean over;
     private boolean takingOver = true;
 
-    /** Workers that aren't registered may hold leases of an earlier scheduler until a time. */
     Reign(
             Parts parts,
-            long strangersUntilMillis,
             SchedulerLog log,
             JobsView jobs,
             OperatorsView operators,
             WorkersView workers,
             Runnable deposed) {
         this.parts = parts;
-        this.strangersUntilMillis = strangersUntilMillis;
         this.log = log;
         this.jobs = jobs;
         this.operators = operators;
@@ -109,42 +107,29 @@
         this.deposed = deposed;
         this.board = new Board(parts.epoch() * RUNS_PER_EPOCH);
         this.advisor = new Advisor(parts, board, this::changed);
+        this.roster = new RosterKeeper(log, board, this::changed);
     }
 
     void begin() {
         configure();
+        roster.load(jobs.roster());
         jobs.all().forEach(this::jobChanged);
         long inherited =
                 parts.clock().steadyMillis()
                         + LeaseClock.worstCaseMillis(parts.settings().leaseMillis());
         workers.listed().forEach(info -> addWorker(info, inherited));
-        for (WorkerInfo info : workers.lately()) {
-            addWorker(info, inherited);
-            board.removeWorker(info.id());
+        for (WorkerInfo info : jobs.roster().all()) {
+            if (!links.containsKey(info.id())) {
+                addWorker(info, inherited);
+                board.removeWorker(info.id());
+            }
         }
-        awaitStrangers();
         board.endInheritance();
         links.values().forEach(WorkerLink::kick);
         tick();
         cleanLater();
     }
 
-    /** A process that has just started can't know workers whose entries lapsed before. */
-    private void awaitStrangers() {
-        long left = strangersUntilMillis - parts.clock().steadyMillis();
-        if (left <= 0) {
-            return;
-        }
-        board.expectStrangers(true);
-        parts.timers()
-                .after(
-                        left,
-                        () -> {
-                            board.expectStrangers(false);
-                            changed();
-                        });
-    }
-
     /** Ends all calls to workers but not the log, which takes a last record. */
     void retire() {
         over = true;
@@ -257,6 +242,7 @@
         } else {
             link.update(info);
         }
+        roster.admit(info);
     }
 
     private void round() {
@@ -396,5 +382,6 @@
         if (!drops.isEmpty()) {
             log.append(drops, () -> {});
         }
+        roster.clean(workers.listed().stream().map(WorkerInfo::id).collect(Collectors.toSet()));
     }
 }
--- a/node/src/main/java/io/cardamomshelf/node/schedule/Scheduling.java
+++ b/node/src/main/java/io/cardamomshelf/node/schedule/Scheduling.java
@@ -2,7 +2,6 @@
 
 import io.cardamomshelf.core.base.WorkerId;
 import io.cardamomshelf.core.schedule.ElectionTimer;
-import io.cardamomshelf.core.schedule.LeaseClock;
 import io.cardamomshelf.core.schedule.WorkerInfo;
 import io.cardamomshelf.node.Clock;
 import io.cardamomshelf.node.Timers;
@@ -75,8 +74,6 @@
     private JobRecords.Leader lastSeen;
     private boolean standing;
     private boolean stopped;
-    private long startMillis;
-    private long vacantSinceMillis;
     private long electedAt = -1;
     private Reign waiting;
     private Reign reign;
@@ -117,7 +114,7 @@
         this.random = new Random(settings.name().hashCode() * 31L + clock.now().wallMillis());
         this.election = new ElectionTimer(SILENCE_MILLIS + random.nextInt(JITTER_MILLIS));
         this.jobs = new JobsView(this);
-        this.workers = new WorkersView(decoder, this, clock::steadyMillis);
+        this.workers = new WorkersView(decoder, this);
         this.operators = operators;
     }
 
@@ -141,7 +138,6 @@
 
     /** Starts to watch for a scheduler. */
     public void start() {
-        startMillis = clock.steadyMillis();
         timers.every(WATCH_MILLIS, this::watch);
         timers.every(HEARTBEAT_MILLIS, this::beat);
     }
@@ -262,7 +258,6 @@
         boolean ready = operators.configuration().isPresent() && !workers.listed().isEmpty();
         if (free && ready && election.mayStand(clock.steadyMillis())) {
             standing = true;
-            vacantSinceMillis = election.lastSignMillis();
             long epoch = jobs.leader().map(JobRecords.Leader::epoch).orElse(0L) + 1;
             stand(epoch, random.nextInt(SEQUENCES), 1);
         }
@@ -310,30 +305,13 @@
                         SchedulerSettings.of(settings.bounds()),
                         metrics,
                         epoch);
-        waiting =
-                new Reign(
-                        parts,
-                        strangersUntilMillis(parts.settings()),
-                        log,
-                        jobs,
-                        operators,
-                        workers,
-                        () -> deposed(epoch));
+        waiting = new Reign(parts, log, jobs, operators, workers, () -> deposed(epoch));
         electedAt = offset;
         if (position.getAsLong() > offset) {
             caughtUp();
         }
     }
 
-    /**
-     * A process that has watched the registry for a whole lease knows every worker that matters.
-     */
-    private long strangersUntilMillis(SchedulerSettings times) {
-        long longest = LeaseClock.worstCaseMillis(times.leaseMillis());
-        boolean watched = clock.steadyMillis() - startMillis >= longest;
-        return watched ? 0 : vacantSinceMillis + longest;
-    }
-
     private void deposed(long epoch) {
         if (reign != null && reign.epoch() == epoch) {
             reign.end();
--- a/node/src/main/java/io/cardamomshelf/node/store/JobRecords.java
+++ b/node/src/main/java/io/cardamomshelf/node/store/JobRecords.java
@@ -12,8 +12,12 @@
 import com.fasterxml.jackson.databind.module.SimpleModule;
 import com.fasterxml.jackson.databind.ser.std.StdSerializer;
 import com.fasterxml.jackson.databind.ser.std.ToStringSerializer;
+import io.cardamomshelf.core.base.DataCentreId;
+import io.cardamomshelf.core.base.Endpoint;
 import io.cardamomshelf.core.base.JobId;
 import io.cardamomshelf.core.base.OrganisationId;
+import io.cardamomshelf.core.base.WorkerId;
+import io.cardamomshelf.core.schedule.WorkerInfo;
 import io.cardamomshelf.core.task.JobProgress;
 import io.cardamomshelf.core.task.TaskJob;
 import io.cardamomshelf.node.port.StoreException;
@@ -29,7 +33,7 @@
  *
  * <p>Each fact has a key of its own, so that a late append of one writer never overwrites what
  * another one wrote: {@code a:ID} the accepted job, {@code c:ID} its cancellation, {@code p:ID} its
- * progress, {@code leader} the scheduler.
+ * progress, {@code leader} the scheduler, {@code w:ID} a worker that may be given runs.
  *
  * <p>Stateless and thread-safe.
  */
@@ -45,6 +49,8 @@
         PROGRESS,
         /** Who the scheduler is. */
         LEADER,
+        /** A worker that may be given runs. */
+        WORKER,
         /** A key that this version doesn't know. */
         OTHER
     }
@@ -62,6 +68,7 @@
     private static final String CANCELLED = "c:";
     private static final String PROGRESS = "p:";
     private static final String LEADER = "leader";
+    private static final String WORKER = "w:";
     private static final byte[] PRESENT = {1};
 
     private static final ObjectMapper MAPPER =
@@ -112,6 +119,26 @@
         return StoredRecord.of(LEADER, write(leader));
     }
 
+    /**
+     * Makes the record of a worker that may be given runs.
+     *
+     * @param info the worker, not null
+     * @return the record, never null
+     */
+    public static StoredRecord worker(WorkerInfo info) {
+        return StoredRecord.of(WORKER + info.id(), write(info));
+    }
+
+    /**
+     * Makes the record that drops a worker.
+     *
+     * @param id the worker, not null
+     * @return the record, never null
+     */
+    public static StoredRecord workerDropped(WorkerId id) {
+        return StoredRecord.dropped(WORKER + id);
+    }
+
     /**
      * Makes the records that drop all that is stored of a job.
      *
@@ -139,6 +166,8 @@
             return Kind.CANCELLED;
         } else if (key.startsWith(PROGRESS)) {
             return Kind.PROGRESS;
+        } else if (key.startsWith(WORKER)) {
+            return Kind.WORKER;
         }
         return key.equals(LEADER) ? Kind.LEADER : Kind.OTHER;
     }
@@ -153,6 +182,16 @@
         return JobId.of(record.key().substring(record.key().indexOf(':') + 1));
     }
 
+    /**
+     * Returns the worker that a record is about.
+     *
+     * @param record a record of a worker, not null
+     * @return the worker, never null
+     */
+    public static WorkerId worker(StoredRecord record) {
+        return WorkerId.of(record.key().substring(WORKER.length()));
+    }
+
     /**
      * Reads a value.
      *
@@ -182,6 +221,9 @@
         SimpleModule module = new SimpleModule("node");
         add(module, JobId.class, JobId::of);
         add(module, OrganisationId.class, OrganisationId::of);
+        add(module, WorkerId.class, WorkerId::of);
+        add(module, DataCentreId.class, DataCentreId::of);
+        add(module, Endpoint.class, Endpoint::parse);
         module.addSerializer(BitSet.class, new BitSetWriter());
         module.addDeserializer(BitSet.class, new BitSetReader());
         return module;
--- a/node/src/main/java/io/cardamomshelf/node/store/JobsView.java
+++ b/node/src/main/java/io/cardamomshelf/node/store/JobsView.java
@@ -95,6 +95,7 @@
     private final Listener listener;
     private Map<JobId, Entry> entries = new LinkedHashMap<>();
     private JobRecords.Leader leader;
+    private Roster roster = new Roster();
 
     /**
      * Creates a view of nothing.
@@ -146,12 +147,22 @@
         return Optional.ofNullable(leader);
     }
 
+    /**
+     * Returns the workers that may hold runs.
+     *
+     * @return the roster as read so far, never null
+     */
+    public Roster roster() {
+        return roster;
+    }
+
     @Override
     public void replace(List<StoredRecord> records) {
         entries = new HashMap<>();
         List<StoredRecord> ordered = new ArrayList<>(records);
         ordered.sort((a, b) -> Long.compare(a.offset(), b.offset()));
         entries = new LinkedHashMap<>();
+        roster = new Roster();
         ordered.forEach(this::apply);
     }
 
@@ -179,6 +190,7 @@
             case CANCELLED -> cancel(record);
             case PROGRESS -> progress(record);
             case LEADER -> lead(record);
+            case WORKER -> roster.apply(record);
             default -> throw new StoreException("unknown key");
         }
     }
--- a/node/src/main/java/io/cardamomshelf/node/store/WorkersView.java
+++ b/node/src/main/java/io/cardamomshelf/node/store/WorkersView.java
@@ -5,14 +5,12 @@
 import io.cardamomshelf.node.port.RecordDecoder;
 import io.cardamomshelf.node.port.StoredRecord;
 import java.util.Collection;
-import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import java.util.function.LongSupplier;
 
 /**
  * The workers as they registered themselves.
@@ -42,28 +40,19 @@
         void workerUnlisted(WorkerId id);
     }
 
-    /** How long a gone entry is remembered, in milliseconds: longer than the longest lease. */
-    private static final long REMEMBERED_MILLIS = 15_000;
-
-    private record Gone(WorkerInfo info, long atMillis) {}
-
     private final RecordDecoder decoder;
     private final Listener listener;
-    private final LongSupplier steadyMillis;
     private final Map<WorkerId, WorkerInfo> listed = new LinkedHashMap<>();
-    private final Map<WorkerId, Gone> gone = new HashMap<>();
 
     /**
      * Creates a view of nothing.
      *
      * @param decoder reads the records, not null
      * @param listener hears what changes, not null
-     * @param steadyMillis the steady clock, not null
      */
-    public WorkersView(RecordDecoder decoder, Listener listener, LongSupplier steadyMillis) {
+    public WorkersView(RecordDecoder decoder, Listener listener) {
         this.decoder = decoder;
         this.listener = listener;
-        this.steadyMillis = steadyMillis;
     }
 
     /**
@@ -75,17 +64,6 @@
         return List.copyOf(listed.values());
     }
 
-    /**
-     * Returns the workers that left the registry a short time ago.
-     *
-     * @return their last entries, never null
-     */
-    public Collection<WorkerInfo> lately() {
-        long since = steadyMillis.getAsLong() - REMEMBERED_MILLIS;
-        gone.values().removeIf(entry -> entry.atMillis() < since);
-        return gone.values().stream().map(Gone::info).toList();
-    }
-
     @Override
     public void replace(List<StoredRecord> records) {
         Set<WorkerId> before = new HashSet<>(listed.keySet());
@@ -111,15 +89,12 @@
         }
         WorkerId id = info.get().id();
         listed.put(id, info.get());
-        gone.remove(id);
         listener.workerListed(info.get());
         return Optional.of(id);
     }
 
     private void drop(WorkerId id) {
-        WorkerInfo info = listed.remove(id);
-        if (info != null) {
-            gone.put(id, new Gone(info, steadyMillis.getAsLong()));
+        if (listed.remove(id) != null) {
             listener.workerUnlisted(id);
         }
     }
--- a/node/src/test/java/io/cardamomshelf/node/schedule/SchedulingTest.java
+++ b/node/src/test/java/io/cardamomshelf/node/schedule/SchedulingTest.java
@@ -331,6 +331,36 @@
             assertEquals(List.of(), workers.overlaps);
         }
 
+        @Test
+        void outOfColdStartInheritedWorkAtOnceOnceAllWorkersHaveTold() {
+            setUp("w1");
+            Process one = new Process("one");
+            time.pass(4_000);
+            one.scheduling.resign().subscribe().with(done -> {});
+            time.pass(500);
+            submit(1, false);
+            Process two = new Process("two");
+            while (!two.scheduling.isLeading()) {
+                time.pass(10);
+            }
+            time.pass(500);
+            assertEquals(1, workers.starts.size());
+        }
+
+        @Test
+        void knowEveryWorkerThatMayHaveRuns() {
+            setUp("w1", "w2");
+            new Process("one");
+            time.pass(4_000);
+            submit(1, false);
+            time.pass(1_000);
+            long known =
+                    store.records(Stream.JOBS).stream()
+                            .filter(record -> JobRecords.kind(record) == JobRecords.Kind.WORKER)
+                            .count();
+            assertEquals(2, known);
+        }
+
         @Test
         void followOnAfterTheHistoryWasDropped() {
             setUp("w1");
