A scheduler without the store grants leases only while most workers answer it

Cause: a scheduler cut off from the store went on renewing leases of workers that only it reached, for as long as the cut lasted; its successor took them for lapsed 5.9 s after its election and started their tasks again (two runs of one task at a time). Mend: core.schedule.Tenure. A grant needs a stored append of the last 2 s, or answers of most workers in the last 2 s; the successor counts nothing as lapsed before 2 s and one lease after most workers have accepted its token, unless the last scheduler resigned and said that nothing older is left. Idle workers are asked only while the store is in doubt. Ruled out: a fixed time without the store (a total outage of 20 s would lose all work, which a test forbids); asking peers (entries know no peers here, and a cut data centre agrees with itself).

--- a/node/src/main/java/io/cardamomshelf/node/event/NodeEvent.java
+++ b/node/src/main/java/io/cardamomshelf/node/event/NodeEvent.java
@@ -46,6 +46,10 @@
     LEADER_SEEN(3005, "Another process is the scheduler."),
     /** The takeover is complete. */
     TAKEOVER_COMPLETE(3006, "Every worker's runs are known after a change of scheduler."),
+    /** Another scheduler may have been elected unseen. */
+    TENURE_IN_DOUBT(3007, "Neither the store nor most workers show that this is the scheduler."),
+    /** No other scheduler can have been elected. */
+    TENURE_PROVEN(3008, "The store or most workers show again that this is the scheduler."),
     /** A call was refused. */
     CALL_REFUSED(4001, "A call got no success; the line says why."),
     /** An answer wasn't delivered. */
--- a/node/src/main/java/io/cardamomshelf/node/schedule/Reign.java
+++ b/node/src/main/java/io/cardamomshelf/node/schedule/Reign.java
@@ -5,7 +5,9 @@
 import io.cardamomshelf.core.base.WorkerId;
 import io.cardamomshelf.core.schedule.Board;
 import io.cardamomshelf.core.schedule.LeaseClock;
+import io.cardamomshelf.core.schedule.Moment;
 import io.cardamomshelf.core.schedule.Order;
+import io.cardamomshelf.core.schedule.Tenure;
 import io.cardamomshelf.core.schedule.WaitReason;
 import io.cardamomshelf.core.schedule.WorkerInfo;
 import io.cardamomshelf.core.task.JobProgress;
@@ -55,6 +57,7 @@
      * @param settings the scheduler's times
      * @param metrics where to count
      * @param epoch the fencing token
+     * @param tenure whether leases may be granted
      */
     record Parts(
             Timers timers,
@@ -63,7 +66,8 @@
             PlacementAdvice advice,
             SchedulerSettings settings,
             ServiceMetrics metrics,
-            long epoch) {}
+            long epoch,
+            Tenure tenure) {}
 
     /** The starts that one epoch may order, so that run numbers rise over schedulers. */
     private static final long RUNS_PER_EPOCH = 1_000_000;
@@ -91,6 +95,7 @@
     private boolean roundDue;
     private boolean over;
     private boolean takingOver = true;
+    private boolean granting = true;
 
     Reign(
             Parts parts,
@@ -150,6 +155,11 @@
         return log;
     }
 
+    /** Stores a sign of life, which shows that no other scheduler was elected before it. */
+    void prove(StoredRecord sign) {
+        append(List.of(sign), () -> {});
+    }
+
     void configure() {
         board.close(operators.evacuated());
         operators.configuration().ifPresent(this::configure);
@@ -184,6 +194,17 @@
         }
     }
 
+    @Override
+    public boolean mayGrant() {
+        return parts.tenure().mayGrant(parts.clock().now(), registered());
+    }
+
+    @Override
+    public boolean isPredecessorOver() {
+        return parts.tenure()
+                .isPredecessorOver(parts.clock().now(), parts.settings().leaseMillis());
+    }
+
     @Override
     public void fenced(WorkerInfo worker) {
         if (!over) {
@@ -198,6 +219,10 @@
     private void tick() {
         if (!over) {
             changed();
+            parts.tenure().noteMajority(parts.clock().now(), registered());
+            if (parts.tenure().isInDoubt(parts.clock().now())) {
+                links.values().forEach(WorkerLink::kick);
+            }
             parts.timers().after(TICK_MILLIS, this::tick);
         }
     }
@@ -250,8 +275,9 @@
         if (over) {
             return;
         }
-        for (Order order : board.decide(parts.clock().now())) {
-            carryOut(order);
+        noteGranting(mayGrant());
+        if (granting) {
+            board.decide(parts.clock().now()).forEach(this::carryOut);
         }
         advisor.look();
         logWaits();
@@ -265,6 +291,20 @@
         }
     }
 
+    private void noteGranting(boolean may) {
+        if (may != granting) {
+            granting = may;
+            EventLog.of(may ? NodeEvent.TENURE_PROVEN : NodeEvent.TENURE_IN_DOUBT)
+                    .with("epoch", epoch())
+                    .with("workers", registered().size())
+                    .write();
+        }
+    }
+
+    private Set<WorkerId> registered() {
+        return workers.listed().stream().map(WorkerInfo::id).collect(Collectors.toSet());
+    }
+
     /** One line when a job begins to wait and one when the reason changes. */
     private void logWaits() {
         Map<JobId, WaitReason> waits = board.waits();
@@ -347,7 +387,7 @@
         }
         List<StoredRecord> records = new ArrayList<>();
         progress.forEach((id, value) -> records.add(JobRecords.progress(id, value)));
-        log.append(
+        append(
                 records,
                 () -> {
                     progress.forEach(this::progressStored);
@@ -355,6 +395,18 @@
                 });
     }
 
+    private void append(List<StoredRecord> records, Runnable whenStored) {
+        Moment sent = parts.clock().now();
+        log.append(
+                records,
+                () -> {
+                    if (!records.isEmpty()) {
+                        parts.tenure().stored(sent);
+                    }
+                    whenStored.run();
+                });
+    }
+
     private void progressStored(JobId id, JobProgress progress) {
         EventLog.of(NodeEvent.PROGRESS_STORED)
                 .with("job", id)
@@ -382,6 +434,6 @@
         if (!drops.isEmpty()) {
             log.append(drops, () -> {});
         }
-        roster.clean(workers.listed().stream().map(WorkerInfo::id).collect(Collectors.toSet()));
+        roster.clean(registered());
     }
 }
--- a/node/src/main/java/io/cardamomshelf/node/schedule/Scheduling.java
+++ b/node/src/main/java/io/cardamomshelf/node/schedule/Scheduling.java
@@ -2,6 +2,8 @@
 
 import io.cardamomshelf.core.base.WorkerId;
 import io.cardamomshelf.core.schedule.ElectionTimer;
+import io.cardamomshelf.core.schedule.Moment;
+import io.cardamomshelf.core.schedule.Tenure;
 import io.cardamomshelf.core.schedule.WorkerInfo;
 import io.cardamomshelf.node.Clock;
 import io.cardamomshelf.node.Timers;
@@ -73,6 +75,7 @@
     private final OperatorsView operators;
     private JobRecords.Leader lastSeen;
     private boolean standing;
+    private boolean predecessorSettled;
     private boolean stopped;
     private long electedAt = -1;
     private Reign waiting;
@@ -161,7 +164,11 @@
                             last.retire();
                             last.log()
                                     .append(
-                                            List.of(leader(last.epoch(), true)),
+                                            List.of(
+                                                    leader(
+                                                            last.epoch(),
+                                                            true,
+                                                            last.isPredecessorOver())),
                                             () -> {
                                                 EventLog.of(NodeEvent.LEADERSHIP_RESIGNED)
                                                         .with("epoch", last.epoch())
@@ -249,7 +256,7 @@
 
     private void beat() {
         if (reign != null && !reign.log().isBusy()) {
-            reign.log().append(List.of(leader(reign.epoch(), false)), () -> {});
+            reign.prove(leader(reign.epoch(), false, false));
         }
     }
 
@@ -258,26 +265,29 @@
         boolean ready = operators.configuration().isPresent() && !workers.listed().isEmpty();
         if (free && ready && election.mayStand(clock.steadyMillis())) {
             standing = true;
+            predecessorSettled = jobs.leader().map(JobRecords.Leader::settled).orElse(true);
             long epoch = jobs.leader().map(JobRecords.Leader::epoch).orElse(0L) + 1;
-            stand(epoch, random.nextInt(SEQUENCES), 1);
+            stand(new Writer(epoch, random.nextInt(SEQUENCES)), 1, clock.now());
         }
     }
 
-    private void stand(long epoch, long sequence, int attempt) {
-        Writer writer = new Writer(epoch, sequence);
-        store.append(List.of(leader(epoch, false)), Optional.of(writer), STAND_MILLIS)
+    private void stand(Writer writer, int attempt, Moment sent) {
+        store.append(
+                        List.of(leader(writer.epoch(), false, false)),
+                        Optional.of(writer),
+                        STAND_MILLIS)
                 .subscribe()
-                .with(outcome -> stood(outcome, writer, attempt));
+                .with(outcome -> stood(outcome, writer, attempt, sent));
     }
 
-    private void stood(AppendOutcome outcome, Writer writer, int attempt) {
+    private void stood(AppendOutcome outcome, Writer writer, int attempt, Moment sent) {
         if (outcome instanceof AppendOutcome.Stored stored) {
             standing = false;
             metrics.count(Name.ELECTIONS, "won");
             EventLog.of(NodeEvent.LEADERSHIP_WON).with("epoch", writer.epoch()).write();
-            elected(stored.offset(), writer);
+            elected(stored.offset(), writer, sent);
         } else if (outcome instanceof AppendOutcome.Unknown && attempt < STAND_ATTEMPTS) {
-            stand(writer.epoch(), writer.sequence(), attempt + 1);
+            stand(writer, attempt + 1, sent);
         } else {
             standing = false;
             election.heard(clock.steadyMillis());
@@ -289,7 +299,7 @@
         }
     }
 
-    private void elected(long offset, Writer writer) {
+    private void elected(long offset, Writer writer, Moment sent) {
         if (stopped || jobs.leader().map(JobRecords.Leader::epoch).orElse(0L) > writer.epoch()) {
             return;
         }
@@ -304,7 +314,8 @@
                         advice,
                         SchedulerSettings.of(settings.bounds()),
                         metrics,
-                        epoch);
+                        epoch,
+                        new Tenure(sent, predecessorSettled));
         waiting = new Reign(parts, log, jobs, operators, workers, () -> deposed(epoch));
         electedAt = offset;
         if (position.getAsLong() > offset) {
@@ -320,7 +331,7 @@
         }
     }
 
-    private StoredRecord leader(long epoch, boolean resigned) {
-        return JobRecords.leader(new JobRecords.Leader(settings.name(), epoch, resigned));
+    private StoredRecord leader(long epoch, boolean resigned, boolean settled) {
+        return JobRecords.leader(new JobRecords.Leader(settings.name(), epoch, resigned, settled));
     }
 }
--- a/node/src/main/java/io/cardamomshelf/node/schedule/WorkerLink.java
+++ b/node/src/main/java/io/cardamomshelf/node/schedule/WorkerLink.java
@@ -2,7 +2,9 @@
 
 import io.cardamomshelf.core.schedule.Board;
 import io.cardamomshelf.core.schedule.LeaseClock;
+import io.cardamomshelf.core.schedule.Moment;
 import io.cardamomshelf.core.schedule.Order;
+import io.cardamomshelf.core.schedule.Tenure;
 import io.cardamomshelf.core.schedule.WorkerInfo;
 import io.cardamomshelf.core.schedule.WorkerLists;
 import io.cardamomshelf.node.Clock;
@@ -34,6 +36,12 @@
 
         /** Gives up, as the worker has seen a newer scheduler. */
         void fenced(WorkerInfo worker);
+
+        /** Whether leases may be granted now. */
+        boolean mayGrant();
+
+        /** Whether every lease of an earlier scheduler has lapsed. */
+        boolean isPredecessorOver();
     }
 
     /** How long a worker may wait for an end before it answers, in milliseconds. */
@@ -51,6 +59,9 @@
     /** The pause while ends wait to be stored, in milliseconds. */
     private static final long UNSTORED_MILLIS = 300;
 
+    /** The pause between calls that grant nothing, in milliseconds. */
+    private static final long WITNESS_MILLIS = 500;
+
     private static final int SILENT_AFTER = 2;
     private static final int START_ATTEMPTS = 2;
 
@@ -63,6 +74,7 @@
     private final long token;
     private final long leaseMillis;
     private final LeaseClock lease;
+    private final Tenure tenure;
     private WorkerInfo info;
     private long stored;
     private long acknowledged;
@@ -82,6 +94,7 @@
         this.host = host;
         this.info = info;
         this.lease = new LeaseClock(inheritedMillis);
+        this.tenure = parts.tenure();
     }
 
     boolean isOlderThan(WorkerInfo next) {
@@ -130,7 +143,8 @@
         return board.isWatched(info.id())
                 || stored < board.lastEnd(info.id())
                 || acknowledged < stored
-                || failures > 0;
+                || failures > 0
+                || tenure.isInDoubt(clock.now());
     }
 
     private WorkerOrders.Target target() {
@@ -140,12 +154,12 @@
     /** A worker that didn't answer gets no new lease, so that what it has runs out in time. */
     private void hold() {
         holding = true;
-        long now = clock.steadyMillis();
+        Moment now = clock.now();
         OptionalLong end =
-                lease.isKnown() && failures == 0
-                        ? OptionalLong.of(lease.leaseEnd(now, leaseMillis))
+                lease.isKnown() && failures == 0 && host.mayGrant()
+                        ? OptionalLong.of(lease.leaseEnd(now.steadyMillis(), leaseMillis))
                         : OptionalLong.empty();
-        boolean patient = end.isPresent() && board.isOccupied(info.id());
+        boolean patient = end.isPresent() && isOccupied();
         long wait = patient ? WAIT_MILLIS : 0;
         long seen = stored;
         orders.hold(target(), end, seen, wait, token, wait + ANSWER_MILLIS)
@@ -153,7 +167,7 @@
                 .with(answer -> held(answer, now, seen));
     }
 
-    private void held(WorkerOrders.Holding answer, long askedMillis, long seen) {
+    private void held(WorkerOrders.Holding answer, Moment asked, long seen) {
         holding = false;
         if (closed) {
             return;
@@ -162,7 +176,8 @@
         switch (answer.answer()) {
             case DONE -> {
                 acknowledged = Math.max(acknowledged, seen);
-                listed(answer, askedMillis);
+                tenure.answered(info.id(), asked);
+                listed(answer, asked.steadyMillis());
             }
             case FENCED -> host.fenced(info);
             default -> unanswered(answer);
@@ -183,6 +198,8 @@
         host.changed();
         if (stored < board.lastEnd(info.id())) {
             pause(UNSTORED_MILLIS);
+        } else if (tenure.isInDoubt(clock.now()) && !(host.mayGrant() && isOccupied())) {
+            pause(WITNESS_MILLIS);
         } else {
             kick();
         }
@@ -212,8 +229,8 @@
                     .with("detail", answer.detail())
                     .write();
         }
-        if (failures >= SILENT_AFTER && lease.isLapsed(clock.steadyMillis())) {
-            if (board.isOccupied(info.id())) {
+        if (failures >= SILENT_AFTER && isLapsed()) {
+            if (isOccupied()) {
                 EventLog.of(NodeEvent.WORKER_LOST).with("worker", info.id()).write();
             }
             board.loseWorker(info.id());
@@ -222,6 +239,14 @@
         pause(RETRY_MILLIS);
     }
 
+    private boolean isLapsed() {
+        return lease.isLapsed(clock.steadyMillis()) && host.isPredecessorOver();
+    }
+
+    private boolean isOccupied() {
+        return board.isOccupied(info.id());
+    }
+
     /** A worker with ends to tell answers at once, so calls are spaced until they are stored. */
     private void pause(long millis) {
         pausing = true;
@@ -266,7 +291,7 @@
         if (reply.answer() != Answer.DONE) {
             logFailure(start, attempt, reply);
         }
-        if (again && attempt < START_ATTEMPTS) {
+        if (again && attempt < START_ATTEMPTS && host.mayGrant()) {
             start(start, attempt + 1);
             return;
         }
@@ -303,7 +328,7 @@
         switch (reply.answer()) {
             case FENCED -> host.fenced(info);
             case UNKNOWN -> {
-                if (board.isOccupied(info.id())) {
+                if (isOccupied()) {
                     timers.after(RETRY_MILLIS, () -> stop(stop));
                 }
             }
--- a/node/src/test/java/io/cardamomshelf/node/schedule/SchedulingTest.java
+++ b/node/src/test/java/io/cardamomshelf/node/schedule/SchedulingTest.java
@@ -85,6 +85,7 @@
         private final OperatorsView operators;
         private final List<StreamFollower> followers = new ArrayList<>();
         private final Scheduling scheduling;
+        private final Paths paths = new Paths(time, store, workers);
         private StreamFollower jobsFollower;
 
         Process(String name) {
@@ -92,8 +93,8 @@
             scheduling =
                     new Scheduling(
                             time,
-                            store,
-                            workers,
+                            paths,
+                            paths,
                             (step, asked, timeout) -> Uni.createFrom().item(Optional.empty()),
                             decoder,
                             operators,
@@ -111,7 +112,7 @@
         private StreamFollower follow(Stream stream, StreamFollower.Fold fold) {
             StreamFollower follower =
                     new StreamFollower(
-                            time, store, stream, fold, time, new StreamFollower.Pace(1_000, 0));
+                            time, paths, stream, fold, time, new StreamFollower.Pace(1_000, 0));
             followers.add(follower);
             return follower;
         }
@@ -331,6 +332,26 @@
             assertEquals(List.of(), workers.overlaps);
         }
 
+        @Test
+        void neverBothRunATaskWhenTheFirstKeepsAPathToItsWorkerAlone() {
+            setUp("w1", "w2", "w3");
+            Process one = new Process("one");
+            time.pass(4_000);
+            submit(1, false);
+            time.pass(1_000);
+            String host = workers.starts.get(0).worker().value();
+            Process two = new Process("two");
+            time.pass(1_000);
+            one.paths.cutStore();
+            for (String name : List.of("w1", "w2", "w3")) {
+                (name.equals(host) ? two : one).paths.cutWorker(name);
+            }
+            time.pass(30_000);
+            assertTrue(two.scheduling.isLeading());
+            assertEquals(2, workers.starts.size());
+            assertEquals(List.of(), workers.overlaps);
+        }
+
         @Test
         void outOfColdStartInheritedWorkAtOnceOnceAllWorkersHaveTold() {
             setUp("w1");
