A job is announced in the store before its first run

Now a job's first progress is stored before its first run, so one of which nothing is stored starts at once. It replaces the record that followed the first start; a job that waits for room is announced while it waits, so an outage of the store holds back little. Workers that leave without runs are dropped from the store at once. Ruled out: judging by offsets (a scheduler may start a job long after its last record). Test: SchedulingTest "startAtOnceWhatWasAccepted..." (red before), TakeoverTest "startsOnceItIsStored...".

--- a/core/src/main/java/io/cardamomshelf/core/schedule/Board.java
+++ b/core/src/main/java/io/cardamomshelf/core/schedule/Board.java
@@ -97,10 +97,20 @@
      * Adds an accepted job, once.
      *
      * @param job the job, not null
-     * @param progress how far it has come, not null
+     * @param stored how far it has come, empty if no scheduler has stored anything of it, so that
+     *     it certainly has no run
      */
-    public void putJob(TaskJob job, JobProgress progress) {
-        jobs.put(job, progress, inheriting);
+    public void putJob(TaskJob job, Optional<JobProgress> stored) {
+        jobs.put(job, stored, inheriting);
+    }
+
+    /**
+     * Notes that progress was stored, so that a later scheduler knows that the job may have runs.
+     *
+     * @param id the job, not null
+     */
+    public void progressStored(JobId id) {
+        jobs.find(id).ifPresent(LiveJob::announced);
     }
 
     /**
@@ -376,6 +386,10 @@
         return ++lastRun;
     }
 
+    void announce(LiveJob job) {
+        jobs.announce(job);
+    }
+
     /** An inherited job may run on a worker that hasn't told yet. */
     boolean isUncertain(LiveJob job) {
         return job.isInherited() && !isAccountedFor();
--- a/core/src/main/java/io/cardamomshelf/core/schedule/JobBook.java
+++ b/core/src/main/java/io/cardamomshelf/core/schedule/JobBook.java
@@ -25,8 +25,8 @@
         queues = Map.copyOf(newQueues);
     }
 
-    void put(TaskJob job, JobProgress progress, boolean inherited) {
-        jobs.computeIfAbsent(job.id(), id -> new LiveJob(job, progress, inherited));
+    void put(TaskJob job, Optional<JobProgress> stored, boolean inherited) {
+        jobs.computeIfAbsent(job.id(), id -> new LiveJob(job, stored, inherited));
     }
 
     Optional<LiveJob> find(JobId id) {
@@ -67,6 +67,12 @@
         return steps;
     }
 
+    void announce(LiveJob job) {
+        if (job.announce()) {
+            changed.add(job.job().id());
+        }
+    }
+
     void markChanged(JobId id) {
         changed.add(id);
     }
--- a/core/src/main/java/io/cardamomshelf/core/schedule/LiveJob.java
+++ b/core/src/main/java/io/cardamomshelf/core/schedule/LiveJob.java
@@ -29,17 +29,47 @@
     private final Map<GroupKey, TaskGroup> groups = new TreeMap<>();
     private final Map<GroupKey, StepProgress> restored = new TreeMap<>();
     private JobState state;
+    private Announcement announcement;
 
-    /** An inherited job may have runs that this scheduler doesn't know of yet. */
-    LiveJob(TaskJob job, JobProgress progress, boolean inherited) {
+    /** Whether a later scheduler would know that the job may have runs. */
+    private enum Announcement {
+        NONE,
+        SENT,
+        STORED
+    }
+
+    /**
+     * An inherited job may have runs that this scheduler doesn't know of yet; not so one of which
+     * nothing is stored, as that comes before its first run.
+     */
+    LiveJob(TaskJob job, Optional<JobProgress> stored, boolean inherited) {
+        JobProgress progress = stored.orElse(JobProgress.QUEUED);
         this.job = job;
         this.state = progress.state();
-        this.inherited = inherited;
+        this.announcement = stored.isPresent() ? Announcement.STORED : Announcement.NONE;
+        this.inherited = inherited && stored.isPresent();
         for (StepProgress step : progress.steps()) {
             restored.put(new GroupKey(step.occurrence(), step.step()), step);
         }
     }
 
+    boolean isAnnounced() {
+        return announcement == Announcement.STORED;
+    }
+
+    /** Asks for the announcement, once; returns whether this was the first time. */
+    boolean announce() {
+        if (announcement != Announcement.NONE) {
+            return false;
+        }
+        announcement = Announcement.SENT;
+        return true;
+    }
+
+    void announced() {
+        announcement = Announcement.STORED;
+    }
+
     TaskJob job() {
         return job;
     }
--- a/core/src/main/java/io/cardamomshelf/core/schedule/Round.java
+++ b/core/src/main/java/io/cardamomshelf/core/schedule/Round.java
@@ -123,6 +123,9 @@
         if (place.isEmpty() && !waits && Placer.wantsRack(group)) {
             place = placer.anywhere(group, count, policy.service());
         }
+        if (place.isPresent() && !group.owner().isAnnounced()) {
+            return announce(group, place.get());
+        }
         if (place.isPresent()) {
             start(group, waiting, place.get());
             return true;
@@ -138,7 +141,15 @@
         return waitsFor(group, plan.isPresent() ? WaitReason.RECLAIMING : WaitReason.NO_ROOM);
     }
 
+    /** Keeps the room until it is stored that the job may have runs; then it starts. */
+    private boolean announce(TaskGroup group, List<WorkerState> hosts) {
+        group.owner().begin();
+        hosts.forEach(host -> room.hold(host, group.spec().allocation()));
+        return waitsFor(group, WaitReason.ANNOUNCING);
+    }
+
     private boolean waitsFor(TaskGroup group, WaitReason reason) {
+        board.announce(group.owner());
         waits.put(group.owner().job().id(), reason);
         return false;
     }
--- a/core/src/main/java/io/cardamomshelf/core/schedule/WaitReason.java
+++ b/core/src/main/java/io/cardamomshelf/core/schedule/WaitReason.java
@@ -12,6 +12,8 @@
     WANTED_RACK,
     /** Less urgent runs were told to stop for them. */
     RECLAIMING,
+    /** It is being stored that they may run, which comes before the first start. */
+    ANNOUNCING,
     /** After a change of scheduler it isn't known yet whether they run already. */
     TAKEOVER
 }
--- a/core/src/test/java/io/cardamomshelf/core/schedule/Scene.java
+++ b/core/src/test/java/io/cardamomshelf/core/schedule/Scene.java
@@ -17,6 +17,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 
 /** A board with workers that answer as they are told, on a clock that the test sets. */
 final class Scene {
@@ -181,14 +182,15 @@
         QueuePolicy policy = new QueuePolicy("advised", "rota", 1, 3, 3, 1_500, true);
         JobRequest request = new JobRequest("x", List.of(step.build()), 0, 0, 0);
         board.putJob(
-                new TaskJob(job(id), ORGANISATION, policy, nowMillis, request), JobProgress.QUEUED);
+                new TaskJob(job(id), ORGANISATION, policy, nowMillis, request),
+                Optional.of(JobProgress.QUEUED));
         return this;
     }
 
     Scene submit(int id, int priority, JobRequest request) {
         board.putJob(
                 new TaskJob(job(id), ORGANISATION, queue(priority), nowMillis, request),
-                JobProgress.QUEUED);
+                Optional.of(JobProgress.QUEUED));
         return this;
     }
 
--- a/core/src/test/java/io/cardamomshelf/core/schedule/TakeoverTest.java
+++ b/core/src/test/java/io/cardamomshelf/core/schedule/TakeoverTest.java
@@ -13,6 +13,7 @@
 import io.cardamomshelf.core.task.TaskJob;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 
@@ -34,7 +35,7 @@
             JobRequest request = new JobRequest("x", List.of(step.build()), 0, 0, 0);
             scene.board.putJob(
                     new TaskJob(Scene.job(1), Scene.ORGANISATION, Scene.queue(1), 1, request),
-                    new JobProgress(JobState.RUNNING, List.of()));
+                    Optional.of(new JobProgress(JobState.RUNNING, List.of())));
         }
 
         @Test
@@ -56,6 +57,23 @@
             assertEquals(1, scene.starts().size());
         }
 
+        @Test
+        void startsOnceItIsStoredWhatNoSchedulerHasSeenThoughAWorkerIsSilent() {
+            JobRequest request =
+                    new JobRequest("x", List.of(step(1, 52_000, 270_000, 8).build()), 0, 0, 0);
+            scene.board.putJob(
+                    new TaskJob(Scene.job(1), Scene.ORGANISATION, Scene.queue(1), 1, request),
+                    Optional.empty());
+            scene.listWorker("w1", "r1-1").listWorker("w2", "r1-1");
+            scene.board.endInheritance();
+            scene.report("w1");
+            assertEquals(List.of(), scene.decide());
+            assertEquals(JobState.RUNNING, stored(1));
+            assertEquals(List.of(), scene.decide());
+            scene.board.progressStored(Scene.job(1));
+            assertEquals(1, scene.starts().size());
+        }
+
         @Test
         void adoptsWhatRuns() {
             inherit(step(1, 52_000, 270_000, 8));
--- a/node/src/main/java/io/cardamomshelf/node/schedule/Reign.java
+++ b/node/src/main/java/io/cardamomshelf/node/schedule/Reign.java
@@ -169,7 +169,7 @@
         if (entry.job().isEmpty() || entry.progress().state().isEnded()) {
             return;
         }
-        board.putJob(entry.job().get(), entry.progress());
+        board.putJob(entry.job().get(), entry.stored());
         if (entry.isCancelled()) {
             board.cancel(entry.job().get().id());
         }
@@ -184,6 +184,7 @@
     void workerUnlisted(WorkerId id) {
         board.removeWorker(id);
         EventLog.of(NodeEvent.WORKER_UNLISTED).with("worker", id).write();
+        roster.clean(registered());
     }
 
     @Override
@@ -391,6 +392,7 @@
                 records,
                 () -> {
                     progress.forEach(this::progressStored);
+                    changed();
                     ends.forEach((id, last) -> links.get(id).stored(last));
                 });
     }
@@ -408,6 +410,7 @@
     }
 
     private void progressStored(JobId id, JobProgress progress) {
+        board.progressStored(id);
         EventLog.of(NodeEvent.PROGRESS_STORED)
                 .with("job", id)
                 .with("state", progress.state())
--- a/node/src/main/java/io/cardamomshelf/node/store/JobsView.java
+++ b/node/src/main/java/io/cardamomshelf/node/store/JobsView.java
@@ -52,7 +52,7 @@
 
         private TaskJob job;
         private boolean cancelled;
-        private JobProgress progress = JobProgress.QUEUED;
+        private JobProgress progress;
 
         /**
          * Returns the job.
@@ -78,7 +78,16 @@
          * @return the progress, never null
          */
         public JobProgress progress() {
-            return progress;
+            return stored().orElse(JobProgress.QUEUED);
+        }
+
+        /**
+         * Returns what a scheduler has stored of it.
+         *
+         * @return the progress, empty before the first
+         */
+        public Optional<JobProgress> stored() {
+            return Optional.ofNullable(progress);
         }
 
         /**
@@ -87,8 +96,8 @@
          * @return the state, never null
          */
         public JobState state() {
-            boolean live = !progress.state().isEnded();
-            return cancelled && live ? JobState.CANCELLED : progress.state();
+            JobState reached = progress().state();
+            return cancelled && !reached.isEnded() ? JobState.CANCELLED : reached;
         }
     }
 
--- a/node/src/test/java/io/cardamomshelf/node/schedule/SchedulingTest.java
+++ b/node/src/test/java/io/cardamomshelf/node/schedule/SchedulingTest.java
@@ -368,6 +368,23 @@
             assertEquals(1, workers.starts.size());
         }
 
+        @Test
+        void startAtOnceWhatWasAcceptedWithoutASchedulerThoughAWorkerIsSilent() {
+            setUp("w1", "w2");
+            Process one = new Process("one");
+            time.pass(4_000);
+            one.scheduling.resign().subscribe().with(done -> {});
+            time.pass(500);
+            workers.cut.add(WorkerId.of("w1"));
+            submit(1, false);
+            Process two = new Process("two");
+            while (!two.scheduling.isLeading()) {
+                time.pass(10);
+            }
+            time.pass(500);
+            assertEquals(1, workers.starts.size());
+        }
+
         @Test
         void knowEveryWorkerThatMayHaveRuns() {
             setUp("w1", "w2");
