A task that failed on a worker is tried elsewhere first

For 8 s the worker is left out for that step while any other is open. Ruled out: resting the worker at the first failure (a job that can never be done would rest several). Test: BoardTest$Places "areElsewhereAfterAFailure..." (red before), "areOnTheWorkerThatFailedThem...".

--- a/core/src/main/java/io/cardamomshelf/core/schedule/RoomBook.java
+++ b/core/src/main/java/io/cardamomshelf/core/schedule/RoomBook.java
@@ -33,12 +33,16 @@
         held.merge(worker.id(), amount, Resources::plus);
     }
 
-    /** The workers that a group may use now. */
+    /** The workers that a group may use now, without those that failed it if there are others. */
     List<WorkerState> candidates(TaskGroup group, String service) {
-        return workers.stream()
-                .filter(worker -> isAllowed(worker, group, service))
-                .filter(worker -> worker.isOpen(nowMillis))
-                .toList();
+        List<WorkerState> open =
+                workers.stream()
+                        .filter(worker -> isAllowed(worker, group, service))
+                        .filter(worker -> worker.isOpen(nowMillis))
+                        .toList();
+        List<WorkerState> preferred =
+                open.stream().filter(w -> !group.isAvoiding(w.id(), nowMillis)).toList();
+        return preferred.isEmpty() ? open : preferred;
     }
 
     private boolean isAllowed(WorkerState worker, TaskGroup group, String service) {
--- a/core/src/main/java/io/cardamomshelf/core/schedule/TaskGroup.java
+++ b/core/src/main/java/io/cardamomshelf/core/schedule/TaskGroup.java
@@ -1,5 +1,6 @@
 package io.cardamomshelf.core.schedule;
 
+import io.cardamomshelf.core.base.WorkerId;
 import io.cardamomshelf.core.task.RunEnd;
 import io.cardamomshelf.core.task.StepId;
 import io.cardamomshelf.core.task.StepProgress;
@@ -19,6 +20,9 @@
     /** A gang counts its failures and keeps its saved progress as one. */
     private static final int WHOLE_GANG = 0;
 
+    /** How long a worker on which a task failed gets no task of its step, in milliseconds. */
+    private static final long AVOID_MILLIS = 8_000;
+
     private final LiveJob owner;
     private final int occurrence;
     private final int step;
@@ -28,6 +32,7 @@
     private final Map<Integer, Failures> failures = new HashMap<>();
     private final Map<Integer, String> checkpoints = new HashMap<>();
     private final Map<Integer, Run> runs = new HashMap<>();
+    private final Map<WorkerId, Long> failedOn = new HashMap<>();
 
     TaskGroup(LiveJob owner, int occurrence, int step, long readyMillis) {
         this.owner = owner;
@@ -139,6 +144,17 @@
         return !after.equals(before);
     }
 
+    /** Notes that a run failed on a worker, through its own fault or the worker's. */
+    void avoid(WorkerId worker, long nowMillis) {
+        failedOn.put(worker, nowMillis);
+    }
+
+    /** Whether another worker is to be preferred, as one that fails all would use up attempts. */
+    boolean isAvoiding(WorkerId worker, long nowMillis) {
+        Long failed = failedOn.get(worker);
+        return failed != null && nowMillis - failed < AVOID_MILLIS;
+    }
+
     boolean hasFailed(int maxAttempts) {
         return failures.values().stream().anyMatch(count -> count.count() >= maxAttempts);
     }
--- a/core/src/main/java/io/cardamomshelf/core/schedule/WorkerBook.java
+++ b/core/src/main/java/io/cardamomshelf/core/schedule/WorkerBook.java
@@ -157,7 +157,7 @@
         worker.run(ended.task(), ended.run()).ifPresent(this::remove);
         jobs.find(ended.task().job())
                 .flatMap(job -> job.group(ended.task(), now.wallMillis()))
-                .ifPresent(group -> count(group, ended));
+                .ifPresent(group -> count(worker, group, ended, now));
         if (ended.end() == RunEnd.DONE) {
             worker.plusSuccess();
         } else if (ended.end() == RunEnd.FAILED) {
@@ -165,7 +165,10 @@
         }
     }
 
-    private void count(TaskGroup group, WorkerLists.Ended ended) {
+    private void count(WorkerState worker, TaskGroup group, WorkerLists.Ended ended, Moment now) {
+        if (ended.end() == RunEnd.FAILED) {
+            group.avoid(worker.id(), now.steadyMillis());
+        }
         boolean saved = group.save(ended.task().index(), ended.checkpoint());
         boolean counted = group.plusEnd(ended.task(), ended.run(), ended.end());
         if ((saved || counted) && !group.owner().isEnded()) {
--- a/core/src/test/java/io/cardamomshelf/core/schedule/BoardTest.java
+++ b/core/src/test/java/io/cardamomshelf/core/schedule/BoardTest.java
@@ -262,6 +262,24 @@
             assertEquals(Scene.job(2), scene.starts().get(0).task().job());
         }
 
+        @Test
+        void areElsewhereAfterAFailureWhileAnotherWorkerHasRoom() {
+            scene.openWorker("w1", "r1-1").openWorker("w2", "r1-1");
+            scene.submit(1, 1, step(1, 1_000, 1_000, 1));
+            Order.Start first = scene.startAll().get(0);
+            scene.end(first, RunEnd.FAILED);
+            Order.Start second = scene.startAll().get(0);
+            assertNotEquals(first.worker(), second.worker());
+        }
+
+        @Test
+        void areOnTheWorkerThatFailedThemIfThereIsNoOther() {
+            scene.openWorker("w1", "r1-1");
+            scene.submit(1, 1, step(1, 1_000, 1_000, 1));
+            scene.end(scene.startAll().get(0), RunEnd.FAILED);
+            assertEquals(1, scene.startAll().size());
+        }
+
         @Test
         void keepTasksApart() {
             scene.board.endInheritance();
