Workers on which work stands still or goes slowly get no starts

Progress that workers list anyway is compared once a second with the median of the same step's runs elsewhere; below 0.4 of it, or with no progress of any run for 2 s, a worker is left out until it shows fair progress, or 3 s after the last evidence. Ruled out: judging gangs (their members move together) and estimates (off by factors); moving what runs there (an urgent task that is started again after a stop is late anyway).

--- a/core/src/main/java/io/cardamomshelf/core/schedule/Board.java
+++ b/core/src/main/java/io/cardamomshelf/core/schedule/Board.java
@@ -7,12 +7,9 @@
 import io.cardamomshelf.core.task.JobProgress;
 import io.cardamomshelf.core.task.JobState;
 import io.cardamomshelf.core.task.QueuePolicy;
-import io.cardamomshelf.core.task.StepId;
 import io.cardamomshelf.core.task.TaskJob;
 import java.util.ArrayList;
 import java.util.Collection;
-import java.util.Comparator;
-import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -49,7 +46,9 @@
     private final WorkerBook workers = new WorkerBook(jobs);
     private Map<OrganisationId, Integer> guarantees = Map.of();
     private Set<DataCentreId> closed = Set.of();
+    private final Laggards laggards = new Laggards();
     private final TicketBook tickets = new TicketBook();
+    private final Advice advice = new Advice(this, tickets);
     private Map<JobId, WaitReason> waits = Map.of();
     private long lastRun;
     private boolean inheriting = true;
@@ -254,6 +253,7 @@
                 stopUnwanted(group, now, orders);
             }
         }
+        laggards.update(workers.all(), now.steadyMillis());
         Round round = new Round(this, now);
         orders.addAll(round.decide(jobs.all()));
         waits = Map.copyOf(round.waits());
@@ -261,57 +261,30 @@
     }
 
     /**
-     * Returns the steps that wait for advice since the last call.
+     * Returns what is asked of the placement advice and was learnt from it.
      *
-     * @return their identifiers, never null
-     */
-    public Set<StepId> takeUnadvised() {
-        return tickets.takeWanted();
-    }
-
-    /**
-     * Returns the workers to ask advice on for a step: the most room first.
-     *
-     * @param step the step, not null
-     * @param most the largest number
-     * @return the workers, never null; none if the step's job is over
+     * @return the advice, never null
      */
-    public List<WorkerId> adviceCandidates(StepId step, int most) {
-        Optional<LiveJob> job = jobs.find(step.job()).filter(found -> !found.isEnded());
-        if (job.isEmpty()) {
-            return List.of();
-        }
-        String service = policy(job.get()).service();
-        return workers().stream()
-                .filter(worker -> worker.isListed() && worker.info().service().equals(service))
-                .filter(worker -> !closed.contains(worker.info().dataCentre()))
-                .sorted(Comparator.comparingInt(worker -> -worker.free().accelerators()))
-                .limit(most)
-                .map(WorkerState::id)
-                .toList();
+    public Advice advice() {
+        return advice;
     }
 
     /**
-     * Takes the tickets of a step.
+     * Returns the jobs of which something waited in the last round.
      *
-     * @param step the step, not null
-     * @param given the tickets by worker, not null
-     * @param untilMillis when they end, on the steady clock
+     * @return the reason by job, never null
      */
-    public void putTickets(StepId step, Map<WorkerId, String> given, long untilMillis) {
-        Map<WorkerState, String> known = new HashMap<>();
-        given.forEach(
-                (id, ticket) -> workers.find(id).ifPresent(found -> known.put(found, ticket)));
-        tickets.put(step, known, untilMillis);
+    public Map<JobId, WaitReason> waits() {
+        return waits;
     }
 
     /**
-     * Returns the jobs of which something waited in the last round.
+     * Returns the workers on which work stands still or goes much slower than elsewhere.
      *
-     * @return the reason by job, never null
+     * @return their identifiers, never null; they get no new starts
      */
-    public Map<JobId, WaitReason> waits() {
-        return waits;
+    public Set<WorkerId> lagging() {
+        return laggards.lagging();
     }
 
     /**
@@ -379,6 +352,14 @@
         return workers.all().stream().filter(w -> !workers.strays().isAt(w.id())).toList();
     }
 
+    Optional<LiveJob> job(JobId id) {
+        return jobs.find(id);
+    }
+
+    Optional<WorkerState> worker(WorkerId id) {
+        return workers.find(id);
+    }
+
     Set<DataCentreId> closed() {
         return closed;
     }
--- a/core/src/main/java/io/cardamomshelf/core/schedule/RoomBook.java
+++ b/core/src/main/java/io/cardamomshelf/core/schedule/RoomBook.java
@@ -39,6 +39,7 @@
                 workers.stream()
                         .filter(worker -> isAllowed(worker, group, service))
                         .filter(worker -> worker.isOpen(nowMillis))
+                        .filter(worker -> !board.lagging().contains(worker.id()))
                         .toList();
         List<WorkerState> preferred =
                 open.stream().filter(w -> !group.isAvoiding(w.id(), nowMillis)).toList();
--- a/core/src/main/java/io/cardamomshelf/core/schedule/Run.java
+++ b/core/src/main/java/io/cardamomshelf/core/schedule/Run.java
@@ -29,6 +29,7 @@
     final WorkerState worker;
     final TaskGroup group;
     final long orderedMillis;
+    final RunProgress progress = new RunProgress();
     Phase phase = Phase.ORDERED;
 
     /** When the last order was answered; a list asked for later shows the run or it isn't there. */
--- a/core/src/main/java/io/cardamomshelf/core/schedule/WorkerBook.java
+++ b/core/src/main/java/io/cardamomshelf/core/schedule/WorkerBook.java
@@ -130,6 +130,7 @@
         if (run.phase == Run.Phase.ORDERED) {
             settle(run, now);
         }
+        run.progress.put(running.percent(), now.steadyMillis());
         run.group.save(running.task().index(), running.checkpoint());
         return true;
     }
--- a/core/src/test/java/io/cardamomshelf/core/schedule/AdviceTest.java
+++ b/core/src/test/java/io/cardamomshelf/core/schedule/AdviceTest.java
@@ -27,10 +27,12 @@
     }
 
     private void advise(String worker, String ticket, long validMillis) {
-        scene.board.putTickets(
-                STEP,
-                Map.of(Scene.worker(worker), ticket),
-                scene.now().steadyMillis() + validMillis);
+        scene.board
+                .advice()
+                .putTickets(
+                        STEP,
+                        Map.of(Scene.worker(worker), ticket),
+                        scene.now().steadyMillis() + validMillis);
     }
 
     @Nested
@@ -39,7 +41,7 @@
         @Test
         void areWaitedForAndCarriedByTheStart() {
             assertEquals(List.of(), scene.decide());
-            assertEquals(Set.of(STEP), scene.board.takeUnadvised());
+            assertEquals(Set.of(STEP), scene.board.advice().takeUnadvised());
             advise("w2", "t-2", 3_000);
             Order.Start start = scene.starts().get(0);
             assertEquals(Scene.worker("w2"), start.worker());
@@ -49,12 +51,12 @@
         @Test
         void areAskedForAgainOnlyWhenTheyRunOut() {
             scene.decide();
-            scene.board.takeUnadvised();
-            scene.board.putTickets(STEP, Map.of(), scene.now().steadyMillis() + 3_000);
+            scene.board.advice().takeUnadvised();
+            scene.board.advice().putTickets(STEP, Map.of(), scene.now().steadyMillis() + 3_000);
             scene.pass(1_000).decide();
-            assertEquals(Set.of(), scene.board.takeUnadvised());
+            assertEquals(Set.of(), scene.board.advice().takeUnadvised());
             scene.pass(2_000).decide();
-            assertEquals(Set.of(STEP), scene.board.takeUnadvised());
+            assertEquals(Set.of(STEP), scene.board.advice().takeUnadvised());
         }
 
         @Test
@@ -80,14 +82,14 @@
             scene.submit(2, 1, step(1, 1_000, 1_000, 4).near("r1-1"));
             WorkerId taken = scene.startAll().get(0).worker();
             WorkerId emptier = Scene.worker(taken.value().equals("w1") ? "w2" : "w1");
-            assertEquals(List.of(emptier), scene.board.adviceCandidates(STEP, 1));
-            assertEquals(2, scene.board.adviceCandidates(STEP, 30).size());
+            assertEquals(List.of(emptier), scene.board.advice().adviceCandidates(STEP, 1));
+            assertEquals(2, scene.board.advice().adviceCandidates(STEP, 30).size());
         }
 
         @Test
         void areNoneForAJobThatIsOver() {
             scene.board.cancel(Scene.job(1));
-            assertEquals(List.of(), scene.board.adviceCandidates(STEP, 30));
+            assertEquals(List.of(), scene.board.advice().adviceCandidates(STEP, 30));
         }
     }
 }
--- a/node/src/main/java/io/cardamomshelf/node/schedule/Advisor.java
+++ b/node/src/main/java/io/cardamomshelf/node/schedule/Advisor.java
@@ -49,7 +49,7 @@
 
     /** Takes the steps that the board wants tickets for. */
     void look() {
-        for (StepId step : board.takeUnadvised()) {
+        for (StepId step : board.advice().takeUnadvised()) {
             if (!queue.contains(step)) {
                 queue.add(step);
             }
@@ -66,7 +66,7 @@
             return;
         }
         StepId step = queue.poll();
-        List<WorkerId> workers = board.adviceCandidates(step, WORKERS);
+        List<WorkerId> workers = board.advice().adviceCandidates(step, WORKERS);
         if (workers.isEmpty()) {
             timers.after(RETRY_MILLIS, this::next);
             return;
@@ -88,8 +88,11 @@
                 .write();
         answer.ifPresent(
                 found ->
-                        board.putTickets(
-                                step, found.tickets(), clock.steadyMillis() + found.validMillis()));
+                        board.advice()
+                                .putTickets(
+                                        step,
+                                        found.tickets(),
+                                        clock.steadyMillis() + found.validMillis()));
         timers.after(
                 answer.isPresent() ? 0 : RETRY_MILLIS,
                 () -> {
--- a/node/src/main/java/io/cardamomshelf/node/schedule/Reign.java
+++ b/node/src/main/java/io/cardamomshelf/node/schedule/Reign.java
@@ -8,17 +8,14 @@
 import io.cardamomshelf.core.schedule.Moment;
 import io.cardamomshelf.core.schedule.Order;
 import io.cardamomshelf.core.schedule.Tenure;
-import io.cardamomshelf.core.schedule.WaitReason;
 import io.cardamomshelf.core.schedule.WorkerInfo;
 import io.cardamomshelf.core.task.JobProgress;
-import io.cardamomshelf.core.task.JobState;
 import io.cardamomshelf.core.task.QueuePolicy;
 import io.cardamomshelf.node.Clock;
 import io.cardamomshelf.node.Timers;
 import io.cardamomshelf.node.event.EventLog;
 import io.cardamomshelf.node.event.NodeEvent;
 import io.cardamomshelf.node.metric.ServiceMetrics;
-import io.cardamomshelf.node.metric.ServiceMetrics.Name;
 import io.cardamomshelf.node.port.Configuration;
 import io.cardamomshelf.node.port.PlacementAdvice;
 import io.cardamomshelf.node.port.StoredRecord;
@@ -30,7 +27,6 @@
 import io.cardamomshelf.node.store.WorkersView;
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -90,8 +86,7 @@
     private final Map<WorkerId, WorkerLink> links = new LinkedHashMap<>();
     private final Map<WorkerId, Long> sentEnds = new HashMap<>();
     private final Map<JobId, Long> endedSince = new HashMap<>();
-    private final Set<JobId> firstStarts = new HashSet<>();
-    private Map<JobId, WaitReason> lastWaits = Map.of();
+    private final RoundNotes notes;
     private boolean roundDue;
     private boolean over;
     private boolean takingOver = true;
@@ -112,13 +107,19 @@
         this.deposed = deposed;
         this.board = new Board(parts.epoch() * RUNS_PER_EPOCH);
         this.advisor = new Advisor(parts, board, this::changed);
+        this.notes = new RoundNotes(parts, board, jobs);
         this.roster = new RosterKeeper(log, board, this::changed);
     }
 
     void begin() {
         configure();
         roster.load(jobs.roster());
-        jobs.all().forEach(this::jobChanged);
+        for (JobsView.Entry entry : jobs.all()) {
+            if (entry.stored().isPresent()) {
+                notes.inherit(entry.job().orElseThrow().id());
+            }
+            jobChanged(entry);
+        }
         long inherited =
                 parts.clock().steadyMillis()
                         + LeaseClock.worstCaseMillis(parts.settings().leaseMillis());
@@ -281,7 +282,7 @@
             board.decide(parts.clock().now()).forEach(this::carryOut);
         }
         advisor.look();
-        logWaits();
+        notes.round();
         store();
         if (takingOver && board.isAccountedFor()) {
             takingOver = false;
@@ -306,30 +307,6 @@
         return workers.listed().stream().map(WorkerInfo::id).collect(Collectors.toSet());
     }
 
-    /** One line when a job begins to wait and one when the reason changes. */
-    private void logWaits() {
-        Map<JobId, WaitReason> waits = board.waits();
-        for (Map.Entry<JobId, WaitReason> wait : waits.entrySet()) {
-            if (wait.getValue() != lastWaits.get(wait.getKey())) {
-                EventLog.of(NodeEvent.JOB_WAITING)
-                        .with("job", wait.getKey())
-                        .with("reason", wait.getValue())
-                        .with("waitedMillis", sinceAccepted(wait.getKey()))
-                        .with("unseenWorkers", board.unseen().size())
-                        .write();
-            }
-        }
-        lastWaits = waits;
-    }
-
-    private long sinceAccepted(JobId id) {
-        long now = parts.clock().now().wallMillis();
-        return jobs.find(id)
-                .flatMap(JobsView.Entry::job)
-                .map(job -> now - job.acceptedMillis())
-                .orElse(-1L);
-    }
-
     private void carryOut(Order order) {
         WorkerLink link = links.get(order.worker());
         if (order instanceof Order.Start start) {
@@ -337,11 +314,11 @@
                     .with("task", start.task())
                     .with("run", start.run())
                     .with("worker", start.worker())
-                    .with("waitedMillis", sinceAccepted(start.task().job()))
+                    .with("waitedMillis", notes.sinceAccepted(start.task().job()))
                     .with("checkpointed", !start.checkpoint().isEmpty())
                     .with("configuration", configurationVersion())
                     .write();
-            noteFirstStart(start.task().job());
+            notes.started(start.task().job());
             link.start(start);
         } else if (order instanceof Order.Stop stop) {
             EventLog.of(NodeEvent.STOP_ORDERED)
@@ -358,20 +335,6 @@
         return operators.configuration().map(Configuration::version).orElse(-1L);
     }
 
-    private void noteFirstStart(JobId id) {
-        jobs.find(id)
-                .filter(entry -> entry.state() == JobState.QUEUED && firstStarts.add(id))
-                .flatMap(JobsView.Entry::job)
-                .ifPresent(
-                        job ->
-                                parts.metrics()
-                                        .time(
-                                                Name.FIRST_START_MILLIS,
-                                                parts.clock().now().wallMillis()
-                                                        - job.acceptedMillis(),
-                                                job.queue().priority()));
-    }
-
     /** Stores what has changed, and only then lets the workers forget the ends behind it. */
     private void store() {
         Map<JobId, JobProgress> progress = board.takeChanged();
@@ -427,7 +390,7 @@
                 continue;
             }
             board.forget(id);
-            firstStarts.remove(id);
+            notes.forget(id);
             long since = endedSince.computeIfAbsent(id, any -> now);
             if (now - since > parts.settings().stateKeptMillis()) {
                 drops.addAll(JobRecords.drops(id));
