What to stop is chosen by work lost and by the restart

A stop now costs its lost work and a second of the room that stands idle, for each member of a gang; whether a detour is cheaper is still judged by lost work alone, now of all members of the gangs. Test: BoardTest$Reclaim "stopsSingleTasksRatherThanAGang..." (red before: 3 stops, the whole gang).

--- a/core/src/main/java/io/cardamomshelf/core/schedule/Preemption.java
+++ b/core/src/main/java/io/cardamomshelf/core/schedule/Preemption.java
@@ -2,6 +2,7 @@
 
 import io.cardamomshelf.core.task.Resources;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -40,21 +41,29 @@
         this.priorityOf = priorityOf;
     }
 
-    /** Plans room in a rack that the group wants, the one where the least work is lost. */
+    /** Plans room in a rack that the group wants, the one where stops cost least. */
     Optional<Plan> wanted(TaskGroup group, int count, String service) {
         return Placer.wantedRacks(room.candidates(group, service), group).stream()
                 .flatMap(rack -> plan(rack, group, count).stream())
-                .min(Comparator.comparingLong(this::lostWork));
+                .min(Comparator.comparingLong(this::stopCost));
     }
 
-    /** Plans room wherever the least work is lost. */
+    /** Plans room wherever stops cost least. */
     Optional<Plan> anywhere(TaskGroup group, int count, String service) {
         return plan(room.candidates(group, service), group, count);
     }
 
     /** The work that a plan throws away, in core-milliseconds. */
     long lostWork(Plan plan) {
-        return plan.victims().stream().mapToLong(this::lostWork).sum();
+        return plan.victims().stream()
+                .flatMap(victim -> leavingWith(victim).stream())
+                .distinct()
+                .mapToLong(run -> run.lostWork(now.steadyMillis()))
+                .sum();
+    }
+
+    private long stopCost(Plan plan) {
+        return plan.victims().stream().mapToLong(this::stopCost).sum();
     }
 
     private Optional<Plan> plan(List<WorkerState> workers, TaskGroup group, int count) {
@@ -93,7 +102,7 @@
         List<Run> evictable =
                 worker.runs().stream()
                         .filter(run -> !chosen.contains(run) && isEvictable(run))
-                        .sorted(Comparator.comparingLong(this::lostWork))
+                        .sorted(Comparator.comparingLong(this::stopCost))
                         .toList();
         for (Run run : evictable) {
             if (Placer.copies(worker, group, free) >= wanted) {
@@ -101,7 +110,7 @@
             }
             free = free.plus(run.group.spec().allocation());
             more.add(run);
-            cost += lostWork(run);
+            cost += stopCost(run);
         }
         if (Placer.copies(worker, group, free) < wanted) {
             return Optional.empty();
@@ -115,14 +124,15 @@
                 && priorityOf.applyAsInt(run) > priority;
     }
 
-    /** A gang goes whole, so each of its members costs what all lose. */
-    private long lostWork(Run run) {
-        if (!run.group.spec().gang()) {
-            return 1 + run.lostWork(now.steadyMillis());
-        }
+    /** A gang goes whole, so each of its members costs what all do. */
+    private long stopCost(Run run) {
         return 1
-                + run.group.runs().stream()
-                        .mapToLong(member -> member.lostWork(now.steadyMillis()))
+                + leavingWith(run).stream()
+                        .mapToLong(member -> member.stopCost(now.steadyMillis()))
                         .sum();
     }
+
+    private static Collection<Run> leavingWith(Run run) {
+        return run.group.spec().gang() ? run.group.runs() : List.of(run);
+    }
 }
--- a/core/src/main/java/io/cardamomshelf/core/schedule/Run.java
+++ b/core/src/main/java/io/cardamomshelf/core/schedule/Run.java
@@ -21,6 +21,9 @@
     /** How many cores an accelerator counts as when lost work is compared. */
     private static final long ACCELERATOR_CORES = 8;
 
+    /** The time for which room stands idle at a stop and a restoring start, in milliseconds. */
+    private static final long RESTART_MILLIS = 1_000;
+
     private static final long MILLIS = 1_000;
     private static final long UNKNOWN = Long.MIN_VALUE;
 
@@ -62,6 +65,11 @@
         return cores(group.spec()) * Math.max(0, nowMillis - orderedMillis);
     }
 
+    /** What a stop now costs, in core-milliseconds: the lost work, and the restart. */
+    long stopCost(long nowMillis) {
+        return isLeaving() ? 0 : lostWork(nowMillis) + cores(group.spec()) * RESTART_MILLIS;
+    }
+
     /** The cores that a task takes, with its accelerators counted as cores. */
     static long cores(StepSpec spec) {
         return spec.demand().cpuMillis() / MILLIS
--- a/core/src/test/java/io/cardamomshelf/core/schedule/BoardTest.java
+++ b/core/src/test/java/io/cardamomshelf/core/schedule/BoardTest.java
@@ -349,6 +349,23 @@
             assertEquals(2, Scene.of(Order.Stop.class, orders).size());
         }
 
+        @Test
+        void stopsSingleTasksRatherThanAGangThoughBothAreSaved() {
+            scene.board.endInheritance();
+            for (String name : List.of("w1", "w2", "w3")) {
+                scene.openWorker(name, "r1-1");
+            }
+            scene.submit(1, 1, step(3, 52_000, 270_000, 8).gang().checkpointing());
+            assertEquals(3, scene.startAll().size());
+            scene.openWorker("w4", "r1-1");
+            scene.submit(2, 2, step(8, 1_000, 1_000, 1).checkpointing());
+            assertEquals(8, scene.startAll().size());
+            scene.pass(1_000).submit(9, 0, step(1, 15_000, 79_000, 8));
+            List<Order.Stop> stops = scene.stops();
+            assertEquals(8, stops.size());
+            assertTrue(stops.stream().allMatch(s -> s.task().job().equals(Scene.job(2))));
+        }
+
         @Test
         void runsInTwoRacksWhereMakingRoomWouldLoseMoreWork() {
             scene.board.endInheritance();
