explain and timeline read collected logs

Cause: on call there are only logs and metrics; the two subcommands asked live instances of the product's own interface. Tests: LogStoryTest; PlatformSessionTest$Explained takes three ids from a played session to their causes: 504 and then done, refused with 503, late over a change of scheduler.

--- a/cli/src/main/java/io/cardamomshelf/cli/CliMain.java
+++ b/cli/src/main/java/io/cardamomshelf/cli/CliMain.java
@@ -12,6 +12,7 @@
 import joptsimple.OptionException;
 import joptsimple.OptionParser;
 import joptsimple.OptionSet;
+import joptsimple.OptionSpecBuilder;
 
 /**
  * The binary {@code cardamomshelf}: the operators' command.
@@ -88,22 +89,40 @@
     private static void run(Command command, String[] args, PrintStream out)
             throws CliException, FileException {
         OptionParser parser = new OptionParser();
-        parser.accepts("settings", "the command's settings").withRequiredArg().required();
         parser.accepts("json", "print JSON lines");
         parser.accepts("help", "print this help").forHelp();
         command.declare(parser);
+        declareSettings(command, parser);
         OptionSet options = parser.parse(args);
         if (options.has("help")) {
             out.println(help(command));
             return;
         }
+        Output output = new Output(out, options.has("json"));
+        if (command instanceof LogReading reading && options.has(LogReading.LOGS)) {
+            reading.run(options, LogFiles.read(logs(options), System.in), output);
+            return;
+        }
         Path file = Path.of((String) options.valueOf("settings"));
         CliSettings settings = StrictYaml.read(file, CliSettings.class);
         Vertx vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1));
         try {
-            command.run(options, new Session(vertx, settings, out, options.has("json")));
+            command.run(options, new Session(vertx, settings, output));
         } finally {
             vertx.closeAndAwait();
         }
     }
+
+    private static void declareSettings(Command command, OptionParser parser) {
+        OptionSpecBuilder settings = parser.accepts("settings", "the command's settings");
+        if (command instanceof LogReading) {
+            settings.requiredUnless(LogReading.LOGS).withRequiredArg();
+        } else {
+            settings.withRequiredArg().required();
+        }
+    }
+
+    private static List<String> logs(OptionSet options) {
+        return options.valuesOf(LogReading.LOGS).stream().map(String::valueOf).toList();
+    }
 }
--- a/cli/src/main/java/io/cardamomshelf/cli/ExplainCommand.java
+++ b/cli/src/main/java/io/cardamomshelf/cli/ExplainCommand.java
@@ -7,7 +7,7 @@
 import joptsimple.OptionSet;
 
 /** Tells in sentences what became of a job, request, edit or worker, from the events about it. */
-final class ExplainCommand implements Command {
+final class ExplainCommand implements LogReading {
 
     private record Sentence(String time, String instance, String text) {}
 
@@ -29,15 +29,12 @@
     @Override
     public void declare(OptionParser parser) {
         parser.nonOptions("the id of a job, request, edit or worker");
+        LogReading.declareLogs(parser);
     }
 
     @Override
     public void run(OptionSet options, Session session) throws CliException {
-        List<?> words = options.nonOptionArguments();
-        if (words.size() != 1) {
-            throw new CliException(ExitCode.WRONG_INPUT, "usage: " + example());
-        }
-        String id = (String) words.get(0);
+        String id = subject(options);
         MergedTimeline timeline = MergedTimeline.of(session, id);
         timeline.events().forEach(event -> print(event, id, session));
         timeline.printMissing(session);
@@ -47,6 +44,30 @@
         }
     }
 
+    @Override
+    public void run(OptionSet options, List<LogLine> lines, Output output) throws CliException {
+        String id = subject(options);
+        LogStory story = LogStory.of(id, lines);
+        if (story.lines().isEmpty()) {
+            throw new CliException(ExitCode.REFUSED, "the logs have no event about " + id);
+        }
+        if (output.isJson()) {
+            story.lines().stream().map(LogLine::view).forEach(output::printJson);
+            story.conclusions().forEach(output::printJson);
+            return;
+        }
+        story.lines().forEach(line -> output.print(line.toString()));
+        story.conclusions().forEach(output::print);
+    }
+
+    private String subject(OptionSet options) throws CliException {
+        List<?> words = options.nonOptionArguments();
+        if (words.size() != 1) {
+            throw new CliException(ExitCode.WRONG_INPUT, "usage: " + example());
+        }
+        return (String) words.get(0);
+    }
+
     private static void print(Event event, String id, Session session) {
         Sentence sentence =
                 new Sentence(
--- /dev/null
+++ b/cli/src/main/java/io/cardamomshelf/cli/Output.java
@@ -0,0 +1,23 @@
+package io.cardamomshelf.cli;
+
+import io.cardamomshelf.client.Json;
+import java.io.PrintStream;
+
+/**
+ * Where a subcommand's results go, as text or as JSON lines.
+ *
+ * <p>Immutable; as thread-safe as the stream.
+ *
+ * @param stream the stream, not null
+ * @param isJson whether results are JSON lines
+ */
+record Output(PrintStream stream, boolean isJson) {
+
+    void print(String line) {
+        stream.println(line);
+    }
+
+    void printJson(Object value) {
+        stream.println(Json.write(value));
+    }
+}
--- a/cli/src/main/java/io/cardamomshelf/cli/Session.java
+++ b/cli/src/main/java/io/cardamomshelf/cli/Session.java
@@ -2,7 +2,6 @@
 
 import io.cardamomshelf.client.ConfigJson;
 import io.cardamomshelf.client.EntryClient;
-import io.cardamomshelf.client.Json;
 import io.cardamomshelf.client.LogClient;
 import io.cardamomshelf.client.LogPage;
 import io.cardamomshelf.client.PlatformException;
@@ -15,7 +14,6 @@
 import io.cardamomshelf.core.request.Verdict;
 import io.smallrye.mutiny.Uni;
 import io.vertx.mutiny.core.Vertx;
-import java.io.PrintStream;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
@@ -35,15 +33,13 @@
     private static final Duration TIMEOUT = Duration.ofSeconds(70);
 
     private final CliSettings settings;
-    private final PrintStream out;
-    private final boolean json;
+    private final Output output;
     private final LogClient log;
     private final EntryClient entries;
 
-    Session(Vertx vertx, CliSettings settings, PrintStream out, boolean json) {
+    Session(Vertx vertx, CliSettings settings, Output output) {
         this.settings = settings;
-        this.out = out;
-        this.json = json;
+        this.output = output;
         this.log = new LogClient(vertx, Endpoint.parse(settings.log()));
         this.entries = new EntryClient(vertx, settings.token());
     }
@@ -57,15 +53,15 @@
     }
 
     boolean isJson() {
-        return json;
+        return output.isJson();
     }
 
     void print(String line) {
-        out.println(line);
+        output.print(line);
     }
 
     void printJson(Object value) {
-        out.println(Json.write(value));
+        output.printJson(value);
     }
 
     /** Folds the log up to its tail. */
--- a/cli/src/main/java/io/cardamomshelf/cli/TimelineCommand.java
+++ b/cli/src/main/java/io/cardamomshelf/cli/TimelineCommand.java
@@ -2,11 +2,12 @@
 
 import io.cardamomshelf.client.OperatorViews;
 import io.cardamomshelf.core.event.Event;
+import java.util.List;
 import joptsimple.OptionParser;
 import joptsimple.OptionSet;
 
 /** Merges the events of all instances into one time line. */
-final class TimelineCommand implements Command {
+final class TimelineCommand implements LogReading {
 
     @Override
     public String name() {
@@ -28,6 +29,7 @@
         parser.accepts("about", "the id of a job, request, edit or worker")
                 .withRequiredArg()
                 .defaultsTo("");
+        LogReading.declareLogs(parser);
     }
 
     @Override
@@ -38,6 +40,20 @@
         timeline.printMissing(session);
     }
 
+    @Override
+    public void run(OptionSet options, List<LogLine> lines, Output output) {
+        String subject = (String) options.valueOf("about");
+        for (LogLine line : lines) {
+            if (subject.isEmpty() || line.isAbout(subject)) {
+                if (output.isJson()) {
+                    output.printJson(line.view());
+                } else {
+                    output.print(line.toString());
+                }
+            }
+        }
+    }
+
     private static void print(Event event, Session session) {
         if (session.isJson()) {
             session.printJson(OperatorViews.EventView.of(event));
--- /dev/null
+++ b/cli/src/test/java/io/cardamomshelf/cli/LogStoryTest.java
@@ -0,0 +1,165 @@
+package io.cardamomshelf.cli;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.ByteArrayInputStream;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** What is drawn from collected logs. */
+class LogStoryTest {
+
+    private static final String ACCEPTED =
+            line("00.100", "JOB_ACCEPTED", 5001, "'job':'aa','offset':7");
+    private static final String ORDERED =
+            line("00.150", "RUN_ORDERED", 5101, "'task':'aa.0.0.0','run':3,'worker':'w1'");
+    private static final String ENDED =
+            line("02.150", "RUN_ENDED", 5104, "'task':'aa.0.0.0','run':3,'end':'DONE'");
+    private static final String SHOWN =
+            line("09.150", "PROGRESS_STORED", 5105, "'job':'aa','state':'COMPLETED'");
+    private static final String STORE_LOST = line("03.000", "STORE_LOST", 2101, "'stream':'JOBS'");
+    private static final String OTHER = line("01.000", "JOB_ACCEPTED", 5001, "'job':'bb'");
+
+    private static String line(String second, String type, int event, String fields) {
+        return ("{'at':'2026-04-25T18:46:" + second + "Z','message':'" + type + "','level':'INFO',")
+                        .replace('\'', '"')
+                + fields.replace('\'', '"')
+                + ",\"event\":"
+                + event
+                + "}";
+    }
+
+    private static List<LogLine> read(String... lines) throws CliException {
+        String text = String.join("\n", lines);
+        return LogFiles.read(
+                List.of("-"), new ByteArrayInputStream(text.getBytes(StandardCharsets.UTF_8)));
+    }
+
+    @Nested
+    class Lines {
+
+        @Test
+        void areMergedByTimeAndPickedByTheirSubject() throws CliException {
+            LogStory story = LogStory.of("aa", read(SHOWN, OTHER, ENDED, ACCEPTED, ORDERED));
+            assertEquals(
+                    List.of("JOB_ACCEPTED", "RUN_ORDERED", "RUN_ENDED", "PROGRESS_STORED"),
+                    story.lines().stream().map(LogLine::type).toList());
+        }
+
+        @Test
+        void ofLibrariesAreLeftOut() throws CliException {
+            String foreign =
+                    "{\"at\":\"2026-04-25T18:46:00Z\",\"message\":\"x\",\"level\":\"WARN\"}";
+            assertEquals(1, read(foreign, "not JSON", "{broken", ACCEPTED).size());
+        }
+    }
+
+    @Nested
+    class Conclusions {
+
+        @Test
+        void nameTheLongestGapAndWhatHappenedMeanwhile() throws CliException {
+            List<String> conclusions =
+                    LogStory.of("aa", read(ACCEPTED, ORDERED, ENDED, STORE_LOST, SHOWN))
+                            .conclusions();
+            assertEquals(
+                    List.of(
+                            "It was stored by - at offset 7; shown as COMPLETED after 9.05 s.",
+                            "Its longest gap is 7.0 s, from RUN_ENDED to PROGRESS_STORED;"
+                                    + " meanwhile: 1 STORE_LOST."),
+                    conclusions);
+        }
+
+        @Test
+        void tellARefusal() throws CliException {
+            String refused =
+                    line(
+                            "00.100",
+                            "CALL_REFUSED",
+                            4001,
+                            "'path':'/q/aa','status':503,'reason':'the store is away'");
+            assertEquals(
+                    List.of(
+                            "It was refused with 503: the store is away; it was not stored and"
+                                    + " never runs."),
+                    LogStory.of("aa", read(refused)).conclusions());
+        }
+
+        @Test
+        void sayOfAnUnknownOutcomeNothingMore() throws CliException {
+            String unknown =
+                    line(
+                            "00.100",
+                            "CALL_REFUSED",
+                            4001,
+                            "'path':'/q/aa','status':504,'reason':'not known'");
+            assertEquals(
+                    List.of("It was refused with 504: not known."),
+                    LogStory.of("aa", read(unknown)).conclusions());
+            assertTrue(
+                    LogStory.of("aa", read(unknown, ACCEPTED))
+                            .conclusions()
+                            .get(0)
+                            .contains("an answer of 504 was given for it"));
+        }
+    }
+
+    @Nested
+    class TheCommand {
+
+        private final ByteArrayOutputStream out = new ByteArrayOutputStream();
+        private final ByteArrayOutputStream err = new ByteArrayOutputStream();
+
+        private int run(String... args) {
+            return CliMain.run(args, new PrintStream(out), new PrintStream(err));
+        }
+
+        @Test
+        void readsFilesWithoutSettings(@TempDir Path folder) throws IOException {
+            Path file = Files.writeString(folder.resolve("n1.log"), ACCEPTED + "\n" + SHOWN);
+            assertEquals(0, run("explain", "aa", "--logs", file.toString()));
+            assertTrue(
+                    out.toString().contains("It was stored by n1.log at offset 7"), out::toString);
+        }
+
+        @Test
+        void printsJsonLines(@TempDir Path folder) throws IOException {
+            Path file = Files.writeString(folder.resolve("n1.log"), ACCEPTED + "\n" + OTHER);
+            assertEquals(0, run("timeline", "--about", "bb", "--json", "--logs", file.toString()));
+            assertTrue(
+                    out.toString().startsWith("{\"at\":\"2026-04-25T18:46:01Z\""), out::toString);
+            assertEquals(1, out.toString().lines().count());
+        }
+
+        @Test
+        void namesAFileThatHoldsNoEvent(@TempDir Path folder) throws IOException {
+            Path file = Files.writeString(folder.resolve("empty.log"), "nothing\n");
+            assertEquals(2, run("explain", "aa", "--logs", file.toString()));
+            assertTrue(err.toString().contains("empty.log: holds no event"), err::toString);
+            assertEquals(2, run("explain", "aa", "--logs", folder.resolve("none").toString()));
+            assertTrue(err.toString().contains("none: can't be read"), err::toString);
+        }
+
+        @Test
+        void saysSoIfNothingIsAboutTheSubject(@TempDir Path folder) throws IOException {
+            Path file = Files.writeString(folder.resolve("n1.log"), ACCEPTED);
+            assertEquals(7, run("explain", "zz", "--logs", file.toString()));
+            assertEquals("the logs have no event about zz\n", err.toString());
+        }
+
+        @Test
+        void wantsSettingsWithoutLogs() {
+            assertEquals(2, run("explain", "aa"));
+            assertTrue(err.toString().contains("settings"), err::toString);
+        }
+    }
+}
--- a/sessions/src/test/java/io/cardamomshelf/sessions/PlatformSessionTest.java
+++ b/sessions/src/test/java/io/cardamomshelf/sessions/PlatformSessionTest.java
@@ -4,6 +4,9 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import io.cardamomshelf.cli.CliMain;
+import java.io.ByteArrayOutputStream;
+import java.io.PrintStream;
 import java.nio.file.Path;
 import org.approvaltests.Approvals;
 import org.junit.jupiter.api.Nested;
@@ -154,6 +157,67 @@
         }
     }
 
+    /** Ids of requests that went wrong lead to their causes by logs alone, as the page shows. */
+    @Nested
+    class Explained {
+
+        private static final String REFUSED = "00000000000000b2";
+        private static final String LATE = "00000000000000b3";
+
+        private static String explain(Path folder, String id) {
+            ByteArrayOutputStream out = new ByteArrayOutputStream();
+            String[] logs = {"n1.log", "n2.log"};
+            String[] args = {
+                "explain",
+                id,
+                "--logs",
+                folder.resolve(logs[0]).toString(),
+                "--logs",
+                folder.resolve(logs[1]).toString()
+            };
+            assertEquals(0, CliMain.run(args, new PrintStream(out), System.err));
+            return out.toString();
+        }
+
+        @Test
+        void fromTheirIdsToTheirCauses(@TempDir Path folder) throws SessionException {
+            try (PlatformDeployment deployment = PlatformDeployment.start(folder, 4)) {
+                startTwo(deployment);
+                deployment.trouble("losing");
+                assertEquals(504, deployment.call("n1", "POST", JOB, body("ms=10", 1)).status());
+                deployment.trouble("none");
+                assertEquals(200, deployment.call("n2", "POST", JOB, body("ms=10", 1)).status());
+                awaitState(deployment, "n2", "completed");
+                deployment.trouble("refusing");
+                assertEquals(
+                        503, deployment.call("n1", "POST", REFUSED, body("ms=10", 1)).status());
+                deployment.trouble("none");
+                Wait.until("ready", () -> deployment.isReady("n1") && deployment.isReady("n2"));
+                String first = deployment.leader().orElseThrow();
+                String second = other(first);
+                deployment.call(second, "POST", LATE, body("ms=5000", 1));
+                Wait.until("runs", () -> deployment.count("starts") == 2);
+                deployment.process(first).kill();
+                Wait.until(
+                        "completed",
+                        () ->
+                                deployment
+                                        .call(second, "GET", LATE, null)
+                                        .body()
+                                        .contains("completed"));
+            }
+            assertContains(explain(folder, JOB), "an answer of 504 was given for it");
+            assertContains(explain(folder, REFUSED), "It was refused with 503");
+            assertContains(explain(folder, REFUSED), "it was not stored and never runs");
+            assertContains(explain(folder, LATE), "to RUN_ENDED");
+            assertContains(explain(folder, LATE), "LEADERSHIP_WON");
+        }
+
+        private static void assertContains(String text, String part) {
+            assertTrue(text.contains(part), text);
+        }
+    }
+
     @Nested
     class Stops {
 
