--- a/node/src/main/java/io/cardamomshelf/node/event/NodeEvent.java
+++ b/node/src/main/java/io/cardamomshelf/node/event/NodeEvent.java
@@ -62,6 +62,8 @@
     JOB_WAITING(5003, "Tasks of a job can't be placed now; the line says why."),
     /** Advice came for a step. */
     ADVICE_TAKEN(5004, "The placement advice answered for a step, or gave no answer (-1)."),
+    /** A known job was handed in once more. */
+    JOB_REPEATED(5005, "A job was handed in again and answered from what is stored."),
     /** A run was ordered. */
     RUN_ORDERED(5101, "The scheduler chose a worker for a task and ordered its start."),
     /** A start wasn't carried out. */
--- a/node/src/main/java/io/cardamomshelf/node/ingress/JobDesk.java
+++ b/node/src/main/java/io/cardamomshelf/node/ingress/JobDesk.java
@@ -61,7 +61,7 @@
         if (known.isPresent()) {
             return isForeign(known.get(), call)
                     ? refusal(Answer.FORBIDDEN, "the job belongs to another organisation")
-                    : state(known.get());
+                    : repeated(id, known.get());
         }
         if (!freshness.isStoreReachable()) {
             return refusal(Answer.UNAVAILABLE, "the store doesn't answer here");
@@ -146,6 +146,15 @@
         return unsettled(outcome);
     }
 
+    private Uni<Answer> repeated(JobId id, JobsView.Entry entry) {
+        EventLog.of(NodeEvent.JOB_REPEATED)
+                .with("job", id)
+                .with("state", entry.state())
+                .with("jobsAgeMillis", freshness.jobsAgeMillis())
+                .write();
+        return state(entry);
+    }
+
     private Answer cancelled(AppendOutcome outcome, JobId id, JobsView.Entry entry) {
         if (outcome instanceof AppendOutcome.Stored stored) {
             EventLog.of(NodeEvent.JOB_CANCELLED)
