What wouldn't end before its worker leaves is stopped at the notice and goes on elsewhere

Cause: tasks on a leaving worker were left to end with it. By its progress, or its estimate before there is any, each run on a leaving worker is compared with the time that the worker's entry leaves it; what is saved goes at once, unsaved work may gamble on 2 s more. Ruled out: stopping everything at the notice (urgent tasks mostly end in time).

--- a/core/src/main/java/io/cardamomshelf/core/schedule/Board.java
+++ b/core/src/main/java/io/cardamomshelf/core/schedule/Board.java
@@ -46,6 +46,7 @@
     private final WorkerBook workers = new WorkerBook(jobs);
     private Map<OrganisationId, Integer> guarantees = Map.of();
     private Set<DataCentreId> closed = Set.of();
+    private final Departures departures = new Departures();
     private final Laggards laggards = new Laggards();
     private final TicketBook tickets = new TicketBook();
     private final Advice advice = new Advice(this, tickets);
@@ -253,6 +254,7 @@
                 stopUnwanted(group, now, orders);
             }
         }
+        orders.addAll(departures.stops(workers.all(), this, now));
         laggards.update(workers.all(), now.steadyMillis());
         Round round = new Round(this, now);
         orders.addAll(round.decide(jobs.all()));
--- a/core/src/main/java/io/cardamomshelf/core/schedule/Order.java
+++ b/core/src/main/java/io/cardamomshelf/core/schedule/Order.java
@@ -65,6 +65,8 @@
         JOB_FAILED,
         /** Its room is needed by more urgent work. */
         RECLAIMED,
+        /** Its worker leaves before it would end. */
+        WORKER_LEAVES,
         /** Its gang can't be completed, or the start got no answer. */
         START_ABORTED,
         /** No job wants it. */
--- a/core/src/main/java/io/cardamomshelf/core/schedule/Run.java
+++ b/core/src/main/java/io/cardamomshelf/core/schedule/Run.java
@@ -25,6 +25,7 @@
     private static final long RESTART_MILLIS = 1_000;
 
     private static final long MILLIS = 1_000;
+    private static final int WHOLE = 100;
     private static final long UNKNOWN = Long.MIN_VALUE;
 
     final TaskId task;
@@ -57,6 +58,19 @@
         return phase == Phase.STOPPING || phase == Phase.STOPPED;
     }
 
+    /** How much longer it is likely to run, in milliseconds, by its progress or its estimate. */
+    long remainingMillis(long nowMillis) {
+        int percent = progress.percent();
+        double speed = progress.speed(nowMillis);
+        if (speed > 0) {
+            return (long) (MILLIS * (WHOLE - percent) / speed);
+        }
+        long ran = Math.max(0, nowMillis - orderedMillis);
+        return percent > 0
+                ? group.spec().estimateMillis() * (WHOLE - percent) / WHOLE
+                : Math.max(0, group.spec().estimateMillis() - ran);
+    }
+
     /** Work that a stop now throws away, in core-milliseconds; saved work isn't lost. */
     long lostWork(long nowMillis) {
         if (isLeaving() || group.spec().checkpointing()) {
--- a/core/src/main/java/io/cardamomshelf/core/schedule/RunProgress.java
+++ b/core/src/main/java/io/cardamomshelf/core/schedule/RunProgress.java
@@ -36,6 +36,10 @@
         lastPercent = percent;
     }
 
+    int percent() {
+        return lastPercent;
+    }
+
     /** Whether lists went on coming and showed no progress for a time. */
     boolean isStill(long nowMillis, long millis) {
         return movedMillis != NEVER
--- a/core/src/main/java/io/cardamomshelf/core/schedule/WorkerInfo.java
+++ b/core/src/main/java/io/cardamomshelf/core/schedule/WorkerInfo.java
@@ -23,6 +23,7 @@
  * @param labels its labels, not null
  * @param capacity what it has for tasks, not null
  * @param draining whether it is leaving and must get nothing new
+ * @param remainingMillis how long a leaving worker stays at least, in milliseconds from its entry
  * @param clockMillis its own clock when it wrote the entry, in milliseconds, 0 if unknown
  */
 public record WorkerInfo(
@@ -35,6 +36,7 @@
         List<String> labels,
         Resources capacity,
         boolean draining,
+        long remainingMillis,
         long clockMillis) {
 
     /**
@@ -69,6 +71,7 @@
                 labels,
                 capacity,
                 draining,
+                remainingMillis,
                 clockMillis);
     }
 }
--- a/core/src/test/java/io/cardamomshelf/core/schedule/BoardTest.java
+++ b/core/src/test/java/io/cardamomshelf/core/schedule/BoardTest.java
@@ -280,6 +280,38 @@
             assertEquals(1, scene.startAll().size());
         }
 
+        @Test
+        void areLeftInTimeByWhatWouldNotEndOnALeavingWorker() {
+            scene.openWorker("w1", "r1-1").openWorker("w2", "r1-1");
+            scene.submit(1, 1, step(2, 52_000, 270_000, 8).gang().checkpointing());
+            List<Order.Start> starts = scene.startAll();
+            scene.pass(2_000).drainWorker("w1", "r1-1", 3_000);
+            List<Order.Stop> stops = scene.stops();
+            assertEquals(2, stops.size());
+            assertEquals(Order.StopReason.WORKER_LEAVES, stops.get(0).reason());
+            starts.forEach(start -> scene.end(start, RunEnd.STOPPED));
+            scene.openWorker("w3", "r1-1");
+            assertEquals(2, scene.startAll().size());
+        }
+
+        @Test
+        void areKeptOnALeavingWorkerByWhatEndsInTime() {
+            scene.openWorker("w1", "r1-1");
+            scene.submit(1, 1, step(1, 52_000, 270_000, 8).checkpointing());
+            scene.startAll();
+            scene.pass(4_000).drainWorker("w1", "r1-1", 3_000);
+            assertEquals(List.of(), scene.decide());
+        }
+
+        @Test
+        void areKeptOnALeavingWorkerByUnsavedWorkThatNearlyEndsInTime() {
+            scene.openWorker("w1", "r1-1");
+            scene.submit(1, 1, step(1, 52_000, 270_000, 8));
+            scene.startAll();
+            scene.pass(2_000).drainWorker("w1", "r1-1", 2_500);
+            assertEquals(List.of(), scene.decide());
+        }
+
         @Test
         void keepTasksApart() {
             scene.board.endInheritance();
--- a/core/src/test/java/io/cardamomshelf/core/schedule/Scene.java
+++ b/core/src/test/java/io/cardamomshelf/core/schedule/Scene.java
@@ -146,6 +146,15 @@
     }
 
     Scene listWorker(String name, String rack) {
+        return listWorker(name, rack, false, 0);
+    }
+
+    /** Lists a worker that leaves after a time at the earliest. */
+    Scene drainWorker(String name, String rack, long remainingMillis) {
+        return listWorker(name, rack, true, remainingMillis);
+    }
+
+    private Scene listWorker(String name, String rack, boolean draining, long remainingMillis) {
         WorkerId id = worker(name);
         born.putIfAbsent(id, 1L);
         board.putWorker(
@@ -158,7 +167,8 @@
                         rack,
                         List.of("a", rack),
                         WORKER,
-                        false,
+                        draining,
+                        remainingMillis,
                         0));
         board.admit(id);
         return this;
--- a/core/src/test/java/io/cardamomshelf/core/schedule/ServabilityTest.java
+++ b/core/src/test/java/io/cardamomshelf/core/schedule/ServabilityTest.java
@@ -27,6 +27,7 @@
                     List.of("a", "r1-1"),
                     Scene.WORKER,
                     true,
+                    0,
                     0);
 
     private static Optional<String> obstacle(List<WorkerInfo> workers, Scene.StepBuilder... steps) {
--- a/node/src/test/java/io/cardamomshelf/node/schedule/SchedulingScene.java
+++ b/node/src/test/java/io/cardamomshelf/node/schedule/SchedulingScene.java
@@ -68,6 +68,7 @@
                             List.of("a"),
                             Resources.of(128_000, 512_000, 8),
                             false,
+                            0,
                             0));
         }
     }
