A worker of which nothing is left is asked no more

Cause: a link went on calling a worker that had left with work on it, each second for as long as the scheduler ruled, as its last call had failed. It forgets the worker once it is neither registered nor may have runs, and asks it again when it registers. Ruled out: closing the link at the loss (a registered worker that is cut off has to be found again).

--- a/core/src/main/java/io/cardamomshelf/core/schedule/Board.java
+++ b/core/src/main/java/io/cardamomshelf/core/schedule/Board.java
@@ -321,6 +321,16 @@
                 || workers.find(id).map(state -> !state.isIdle()).orElse(false);
     }
 
+    /**
+     * Asks whether a worker is registered or may have runs.
+     *
+     * @param id the worker, not null
+     * @return false if nothing is left of it
+     */
+    public boolean isKnown(WorkerId id) {
+        return workers.find(id).isPresent();
+    }
+
     /**
      * Returns the number of the last end that was taken of a worker.
      *
--- a/node/src/main/java/io/cardamomshelf/node/schedule/WorkerLink.java
+++ b/node/src/main/java/io/cardamomshelf/node/schedule/WorkerLink.java
@@ -238,6 +238,9 @@
                 EventLog.of(NodeEvent.WORKER_LOST).with("worker", info.id()).write();
             }
             host.lost(info.id());
+            if (!board.isKnown(info.id())) {
+                forget();
+            }
         }
         pause(RETRY_MILLIS);
     }
@@ -261,6 +264,13 @@
                 });
     }
 
+    /** Asks no more, as nothing is left of the worker; it is asked again once it registers. */
+    private void forget() {
+        failures = 0;
+        stored = 0;
+        acknowledged = 0;
+    }
+
     private void beginIncarnation() {
         lease.reset();
         stored = 0;
--- a/node/src/test/java/io/cardamomshelf/node/schedule/SchedulingTest.java
+++ b/node/src/test/java/io/cardamomshelf/node/schedule/SchedulingTest.java
@@ -8,6 +8,7 @@
 import io.cardamomshelf.core.task.RunEnd;
 import io.cardamomshelf.node.FakeStore.Trouble;
 import io.cardamomshelf.node.port.KeyedStore.Stream;
+import io.cardamomshelf.node.port.StoredRecord;
 import java.util.List;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
@@ -71,6 +72,26 @@
             assertEquals(List.of(), workers.overlaps);
         }
 
+        @Test
+        void asksAWorkerThatIsGoneNoMoreUntilItRegistersAgain() {
+            setUp("w1");
+            new Process("one");
+            time.pass(4_000);
+            submit(1, false);
+            time.pass(1_000);
+            workers.cut.add(WorkerId.of("w1"));
+            store.write(Stream.WORKERS, StoredRecord.dropped("w1"));
+            time.pass(20_000);
+            int holds = workers.at("w1").holds;
+            time.pass(30_000);
+            assertEquals(holds, workers.at("w1").holds);
+            workers.cut.clear();
+            store.write(Stream.WORKERS, record("w1"));
+            time.pass(2_000);
+            assertTrue(workers.isRunning(TASK));
+            assertEquals(List.of(), workers.overlaps);
+        }
+
         @Test
         void keepsEndsUnacknowledgedWhileTheStoreIsAway() {
             setUp("w1");
