Room is kept for gangs that wait

The two gangs that have waited longest, from a second on, now get what becomes free on the workers nearest to having enough, in one rack if they want one; urgent work passes them. Ruled out: longer patience alone (nothing makes the rack free), more than two reservations (idle room). Test: ReservationsTest plays the stream: the gang starts within 11 s; with reservations off it never does (3 of 4 red).

--- a/core/src/main/java/io/cardamomshelf/core/schedule/Placer.java
+++ b/core/src/main/java/io/cardamomshelf/core/schedule/Placer.java
@@ -164,7 +164,8 @@
         return whole == 0 ? 0 : (double) amount / whole;
     }
 
-    private static boolean couldTake(List<WorkerState> rack, TaskGroup group, int count) {
+    /** Whether workers could take the tasks if nothing else ran there. */
+    static boolean couldTake(List<WorkerState> rack, TaskGroup group, int count) {
         return rack.stream()
                         .mapToInt(worker -> copies(worker, group, worker.info().capacity()))
                         .sum()
--- a/core/src/main/java/io/cardamomshelf/core/schedule/Round.java
+++ b/core/src/main/java/io/cardamomshelf/core/schedule/Round.java
@@ -28,6 +28,7 @@
     private final Moment now;
     private final RoomBook room;
     private final Placer placer;
+    private final Reservations reservations;
     private final List<Order> orders = new ArrayList<>();
     private final Map<JobId, WaitReason> waits = new HashMap<>();
 
@@ -36,6 +37,7 @@
         this.now = now;
         this.room = new RoomBook(board, now.steadyMillis());
         this.placer = new Placer(room, now);
+        this.reservations = new Reservations(room, now);
     }
 
     List<Order> decide(Collection<LiveJob> jobs) {
@@ -131,6 +133,7 @@
             return true;
         }
         if (waits) {
+            reservations.reserve(group, count, Placer.wantedRacks(candidates(group), group));
             return waitsFor(group, WaitReason.WANTED_RACK);
         }
         Optional<Preemption.Plan> plan =
@@ -138,6 +141,9 @@
                         ? preemption(group).anywhere(group, count, policy.service())
                         : Optional.empty();
         plan.ifPresent(found -> reclaim(group, found));
+        if (plan.isEmpty()) {
+            reservations.reserve(group, count, List.of(candidates(group)));
+        }
         return waitsFor(group, plan.isPresent() ? WaitReason.RECLAIMING : WaitReason.NO_ROOM);
     }
 
@@ -212,6 +218,10 @@
         return policy(group).priority() == 0;
     }
 
+    private List<WorkerState> candidates(TaskGroup group) {
+        return room.candidates(group, policy(group).service());
+    }
+
     private QueuePolicy policy(TaskGroup group) {
         return board.policy(group.owner());
     }
--- a/core/src/main/java/io/cardamomshelf/core/schedule/TaskGroup.java
+++ b/core/src/main/java/io/cardamomshelf/core/schedule/TaskGroup.java
@@ -33,6 +33,7 @@
     private final Map<Integer, String> checkpoints = new HashMap<>();
     private final Map<Integer, Run> runs = new HashMap<>();
     private final Map<WorkerId, Long> failedOn = new HashMap<>();
+    private String reservedRack = "";
 
     TaskGroup(LiveJob owner, int occurrence, int step, long readyMillis) {
         this.owner = owner;
@@ -155,6 +156,15 @@
         return failed != null && nowMillis - failed < AVOID_MILLIS;
     }
 
+    /** The rack in which room was kept for it in the last round, empty if there is none. */
+    String reservedRack() {
+        return reservedRack;
+    }
+
+    void reserveRack(String rack) {
+        reservedRack = rack;
+    }
+
     boolean hasFailed(int maxAttempts) {
         return failures.values().stream().anyMatch(count -> count.count() >= maxAttempts);
     }
