Tests of succession share their waiting; of takeover their scene

The wait for an election is bounded now, so that a test that waits for one in vain fails instead of hanging.

--- a/core/src/test/java/io/cardamomshelf/core/schedule/TakeoverTest.java
+++ b/core/src/test/java/io/cardamomshelf/core/schedule/TakeoverTest.java
@@ -74,26 +74,25 @@
             assertEquals(1, scene.starts().size());
         }
 
-        @Test
-        void stopsNothingForUrgentWorkBeforeWorkersHadTimeToTell() {
+        private void askForRoomWhileOneOfTwoHasTold() {
             inherit(step(1, 52_000, 270_000, 8));
             scene.listWorker("w1", "r1-1").listWorker("w2", "r1-1");
             scene.board.endInheritance();
             scene.report("w1", running(task(1, 0), 77));
             scene.submit(2, 0, step(1, 1_000, 1_000, 8));
             assertEquals(List.of(), scene.decide());
+        }
+
+        @Test
+        void stopsNothingForUrgentWorkBeforeWorkersHadTimeToTell() {
+            askForRoomWhileOneOfTwoHasTold();
             scene.report("w1", running(task(1, 0), 77)).report("w2");
             assertEquals("w2", scene.starts().get(0).worker().value());
         }
 
         @Test
         void stopsWorkForUrgentWorkThoughAWorkerStaysSilent() {
-            inherit(step(1, 52_000, 270_000, 8));
-            scene.listWorker("w1", "r1-1").listWorker("w2", "r1-1");
-            scene.board.endInheritance();
-            scene.report("w1", running(task(1, 0), 77));
-            scene.submit(2, 0, step(1, 1_000, 1_000, 8));
-            assertEquals(List.of(), scene.decide());
+            askForRoomWhileOneOfTwoHasTold();
             scene.pass(600);
             assertEquals(1, scene.stops().size());
         }
--- a/node/src/test/java/io/cardamomshelf/node/schedule/SuccessionTest.java
+++ b/node/src/test/java/io/cardamomshelf/node/schedule/SuccessionTest.java
@@ -19,6 +19,13 @@
 /** Two schedulers, one after the other or beside each other, over one store and workers. */
 class SuccessionTest extends SchedulingScene {
 
+    private void awaitLeading(Process process) {
+        for (int i = 0; i < 1_000 && !process.scheduling.isLeading(); i++) {
+            time.pass(10);
+        }
+        assertTrue(process.scheduling.isLeading());
+    }
+
     @Nested
     class Successors {
 
@@ -133,9 +140,7 @@
             time.pass(500);
             submit(1, false);
             Process two = new Process("two");
-            while (!two.scheduling.isLeading()) {
-                time.pass(10);
-            }
+            awaitLeading(two);
             time.pass(500);
             assertEquals(1, workers.starts.size());
         }
@@ -152,9 +157,7 @@
             workers.cut.add(WorkerId.of("w1"));
             store.write(Stream.WORKERS, record("w2"));
             Process again = new Process("one");
-            while (!again.scheduling.isLeading()) {
-                time.pass(10);
-            }
+            awaitLeading(again);
             time.pass(5_000);
             assertEquals(1, workers.starts.size());
             time.pass(1_800);
@@ -172,9 +175,7 @@
             workers.cut.add(WorkerId.of("w1"));
             submit(1, false);
             Process two = new Process("two");
-            while (!two.scheduling.isLeading()) {
-                time.pass(10);
-            }
+            awaitLeading(two);
             time.pass(500);
             assertEquals(1, workers.starts.size());
         }
