explain calls nothing unstored whose fate is open

A refused GET, or a 503 after a 504 of the same job, was told as 'it was not stored and never runs'. Only a refused submission beside which none is open is told so now.

--- a/cli/src/main/java/io/cardamomshelf/cli/LogStory.java
+++ b/cli/src/main/java/io/cardamomshelf/cli/LogStory.java
@@ -28,6 +28,9 @@
     /** The status that leaves open whether a call was carried out. */
     private static final String UNKNOWN = "504";
 
+    /** The statuses of a submission that was certainly not stored. */
+    private static final Set<String> NOT_STORED = Set.of("429", "503");
+
     private static final Set<String> UNDER_WAY = Set.of("QUEUED", "RUNNING");
 
     private record Gap(LogLine from, LogLine to) {
@@ -70,16 +73,26 @@
         if (scheduled.isPresent()) {
             return Optional.of(stored(accepted) + unknownAnswer() + end() + ".");
         }
-        return last("CALL_REFUSED").map(LogStory::refusal);
+        return last("CALL_REFUSED").map(this::refusal);
     }
 
-    private static String refusal(LogLine refused) {
+    private String refusal(LogLine refused) {
         String status = refused.field("status").orElse("?");
         return "It was refused with "
                 + status
                 + ": "
                 + refused.field("reason").orElse("no reason logged")
-                + (status.equals(UNKNOWN) ? "." : "; it was not stored and never runs.");
+                + (isSurelyNotStored() ? "; it was not stored and never runs." : ".");
+    }
+
+    /** Only a refused submission says so, and none whose fate is open may stand beside it. */
+    private boolean isSurelyNotStored() {
+        return all("CALL_REFUSED")
+                .filter(line -> line.field("method").filter("POST"::equals).isPresent())
+                .map(line -> line.field("status").orElse(""))
+                .reduce((a, b) -> NOT_STORED.contains(a) ? b : a)
+                .filter(NOT_STORED::contains)
+                .isPresent();
     }
 
     private static String stored(Optional<LogLine> accepted) {
