Each finished job and each second of waiting has a line

JOB_ENDED (5106) adds up what was ordered for a job; FLEET_LOAD (6007) tells once a second, while anything waits, what is free, held, running and waiting. JOB_ACCEPTED tells the shape of a task. Counters of stops by reason and priority, times of jobs by priority and state, and two gauges.

No decision changes.

--- a/core/src/main/java/io/cardamomshelf/core/schedule/Board.java
+++ b/core/src/main/java/io/cardamomshelf/core/schedule/Board.java
@@ -5,7 +5,6 @@
 import io.cardamomshelf.core.base.OrganisationId;
 import io.cardamomshelf.core.base.WorkerId;
 import io.cardamomshelf.core.task.JobProgress;
-import io.cardamomshelf.core.task.JobState;
 import io.cardamomshelf.core.task.QueuePolicy;
 import io.cardamomshelf.core.task.TaskJob;
 import java.util.ArrayList;
@@ -51,6 +50,7 @@
     private final TicketBook tickets = new TicketBook();
     private final Advice advice = new Advice(this, tickets);
     private Map<JobId, WaitReason> waits = Map.of();
+    private int held;
     private long lastRun;
     private boolean inheriting = true;
     private long begunMillis = NEVER;
@@ -249,16 +249,13 @@
         }
         jobs.updateStates();
         List<Order> orders = new ArrayList<>(workers.strays().takeOrders(now.steadyMillis()));
-        for (LiveJob job : jobs.all()) {
-            for (TaskGroup group : job.groups()) {
-                stopUnwanted(group, now, orders);
-            }
-        }
+        orders.addAll(UnwantedRuns.stops(jobs.all(), this, now));
         orders.addAll(departures.stops(workers.all(), this, now));
         laggards.update(workers.all(), now.steadyMillis());
         Round round = new Round(this, now);
         orders.addAll(round.decide(jobs.all()));
         waits = Map.copyOf(round.waits());
+        held = round.heldAccelerators();
         return orders;
     }
 
@@ -280,6 +277,16 @@
         return waits;
     }
 
+    /**
+     * Adds up how the accelerators are used.
+     *
+     * @param now the time, not null
+     * @return the load as of the last round, never null
+     */
+    public FleetLoad load(Moment now) {
+        return FleetLoad.of(this, jobs.all(), held, now);
+    }
+
     /**
      * Returns the workers on which work stands still or goes much slower than elsewhere.
      *
@@ -331,6 +338,16 @@
         return workers.find(id).isPresent();
     }
 
+    /**
+     * Returns the rack of a worker.
+     *
+     * @param id the worker, not null
+     * @return its rack, empty if the worker isn't known
+     */
+    public String rackOf(WorkerId id) {
+        return workers.find(id).map(state -> state.info().rack()).orElse("");
+    }
+
     /**
      * Returns the number of the last end that was taken of a worker.
      *
@@ -427,23 +444,4 @@
         run.phase = Run.Phase.STOPPING;
         return Optional.of(new Order.Stop(run.worker.id(), run.task, run.number, reason));
     }
-
-    private void stopUnwanted(TaskGroup group, Moment now, List<Order> orders) {
-        JobState state = group.owner().state();
-        boolean over = state == JobState.CANCELLED || state == JobState.FAILED;
-        boolean broken = group.isBroken() && !isUncertain(group.owner());
-        for (Run run : group.runs()) {
-            if (over || broken || run.abort) {
-                stop(run, reason(group), now).ifPresent(orders::add);
-            }
-        }
-    }
-
-    private static Order.StopReason reason(TaskGroup group) {
-        return switch (group.owner().state()) {
-            case CANCELLED -> Order.StopReason.CANCELLED;
-            case FAILED -> Order.StopReason.JOB_FAILED;
-            default -> Order.StopReason.START_ABORTED;
-        };
-    }
 }
--- a/core/src/main/java/io/cardamomshelf/core/schedule/RoomBook.java
+++ b/core/src/main/java/io/cardamomshelf/core/schedule/RoomBook.java
@@ -33,6 +33,18 @@
         held.merge(worker.id(), amount, Resources::plus);
     }
 
+    /** What is held of accelerators that are free, over all workers. */
+    int heldAccelerators() {
+        return workers.stream()
+                .filter(worker -> held.containsKey(worker.id()))
+                .mapToInt(
+                        worker ->
+                                Math.min(
+                                        Math.max(0, worker.free().accelerators()),
+                                        held.get(worker.id()).accelerators()))
+                .sum();
+    }
+
     /** The workers that a group may use now, without those that failed it if there are others. */
     List<WorkerState> candidates(TaskGroup group, String service) {
         List<WorkerState> open =
--- a/core/src/main/java/io/cardamomshelf/core/schedule/Round.java
+++ b/core/src/main/java/io/cardamomshelf/core/schedule/Round.java
@@ -63,6 +63,11 @@
         return waits;
     }
 
+    /** The free accelerators that the round kept back for work that waits. */
+    int heldAccelerators() {
+        return room.heldAccelerators();
+    }
+
     private Comparator<TaskGroup> order(Set<OrganisationId> guaranteed) {
         return Comparator.<TaskGroup, Boolean>comparing(
                         group -> !(isUrgent(group) && guaranteed.contains(organisation(group))))
--- a/core/src/main/java/io/cardamomshelf/core/task/JobRequest.java
+++ b/core/src/main/java/io/cardamomshelf/core/task/JobRequest.java
@@ -49,6 +49,24 @@
         }
     }
 
+    /**
+     * Returns the length of the longest chain of steps, by the caller's estimates.
+     *
+     * @return milliseconds, 0 if the caller gave none
+     */
+    public long longestChainMillis() {
+        long[] ends = new long[steps.size()];
+        long longest = 0;
+        for (int i = 0; i < steps.size(); i++) {
+            for (int before : steps.get(i).after()) {
+                ends[i] = Math.max(ends[i], ends[before]);
+            }
+            ends[i] += steps.get(i).estimateMillis();
+            longest = Math.max(longest, ends[i]);
+        }
+        return longest;
+    }
+
     /**
      * Returns how often the steps run.
      *
--- a/core/src/main/java/io/cardamomshelf/core/task/TaskJob.java
+++ b/core/src/main/java/io/cardamomshelf/core/task/TaskJob.java
@@ -35,4 +35,14 @@
         Checks.notNull("queue", queue);
         Checks.notNull("request", request);
     }
+
+    /**
+     * Returns how long the job may take to be in time, by the caller's estimates and the policy of
+     * the acceptance.
+     *
+     * @return milliseconds from the acceptance
+     */
+    public long objectiveMillis() {
+        return (long) (queue.slackFactor() * request.longestChainMillis()) + queue.targetMillis();
+    }
 }
--- a/node/src/main/java/io/cardamomshelf/node/Node.java
+++ b/node/src/main/java/io/cardamomshelf/node/Node.java
@@ -134,6 +134,8 @@
         metrics.gauge(Name.CONFIGURATION_AGE_MILLIS, operatorsFollower::proofAgeMillis);
         metrics.gauge(Name.JOBS_AGE_MILLIS, jobsFollower::proofAgeMillis);
         metrics.gauge(Name.LEADING, () -> scheduling.isLeading() ? 1 : 0);
+        metrics.gauge(Name.FREE_ACCELERATORS, () -> scheduling.load().free());
+        metrics.gauge(Name.HELD_ACCELERATORS, () -> scheduling.load().held());
         metrics.gauge(Name.IN_FLIGHT, callers::inFlight);
     }
 
--- a/node/src/main/java/io/cardamomshelf/node/event/NodeEvent.java
+++ b/node/src/main/java/io/cardamomshelf/node/event/NodeEvent.java
@@ -74,6 +74,8 @@
     RUN_ENDED(5104, "A worker listed the end of a run."),
     /** Progress is stored. */
     PROGRESS_STORED(5105, "A job's progress is stored."),
+    /** A job is over. */
+    JOB_ENDED(5106, "A job is over; the line says how late, and what was ordered for it."),
     /** A worker is known. */
     WORKER_SEEN(6001, "A worker's entry was read for the first time, or after a restart."),
     /** A worker left the registry. */
@@ -86,7 +88,10 @@
     WORKER_LOST(6005, "A worker's leases have lapsed without an answer; its runs are over."),
     /** The set of slow workers has changed. */
     WORKERS_LAGGING(
-            6006, "The workers on which work stands still or goes slowly; they get no starts.");
+            6006, "The workers on which work stands still or goes slowly; they get no starts."),
+    /** Work waits. */
+    FLEET_LOAD(
+            6007, "Accelerators that are free, held and in use while work waits, once a second.");
 
     private final int number;
     private final String meaning;
--- a/node/src/main/java/io/cardamomshelf/node/ingress/JobDesk.java
+++ b/node/src/main/java/io/cardamomshelf/node/ingress/JobDesk.java
@@ -4,6 +4,7 @@
 import io.cardamomshelf.core.schedule.Servability;
 import io.cardamomshelf.core.task.JobRequest;
 import io.cardamomshelf.core.task.JobState;
+import io.cardamomshelf.core.task.StepSpec;
 import io.cardamomshelf.core.task.TaskJob;
 import io.cardamomshelf.node.Clock;
 import io.cardamomshelf.node.event.EventLog;
@@ -131,13 +132,18 @@
 
     private Answer submitted(AppendOutcome outcome, TaskJob job) {
         if (outcome instanceof AppendOutcome.Stored stored) {
+            StepSpec first = job.request().steps().get(0);
             EventLog.of(NodeEvent.JOB_ACCEPTED)
                     .with("job", job.id())
                     .with("queue", job.queue().name())
                     .with("organisation", job.organisation())
                     .with("priority", job.queue().priority())
                     .with("steps", job.request().steps().size())
-                    .with("tasks", job.request().steps().get(0).count())
+                    .with("tasks", first.count())
+                    .with("task", first.demand())
+                    .with("gang", first.gang())
+                    .with("rackLocal", first.rackLocal())
+                    .with("estimateMillis", first.estimateMillis())
                     .with("offset", stored.offset())
                     .with("configurationAgeMillis", freshness.configurationAgeMillis())
                     .write();
--- a/node/src/main/java/io/cardamomshelf/node/metric/ServiceMetrics.java
+++ b/node/src/main/java/io/cardamomshelf/node/metric/ServiceMetrics.java
@@ -32,6 +32,10 @@
         /** How long a job waited for its first start. */
         FIRST_START_MILLIS(
                 "From the acceptance of a job to its first start, in milliseconds, by priority."),
+        /** How long jobs took. */
+        JOB_MILLIS("From the acceptance of a job to its stored end, by priority and state."),
+        /** Stopped runs. */
+        STOPS("Runs that the scheduler ordered to stop, by reason and priority."),
         /** Ended runs. */
         RUN_ENDS("Ends that workers listed, by how the run ended."),
         /** Elections. */
@@ -42,6 +46,11 @@
         JOBS_AGE_MILLIS("Age of the proof that the jobs are current."),
         /** Whether this process schedules. */
         LEADING("1 while this process is the scheduler, else 0."),
+        /** Accelerators without a run. */
+        FREE_ACCELERATORS("Accelerators without a run, at the scheduler, else 0."),
+        /** Accelerators kept back. */
+        HELD_ACCELERATORS(
+                "Free accelerators kept back for waiting work, at the scheduler, else 0."),
         /** Calls under way. */
         IN_FLIGHT("Calls of callers that aren't answered yet.");
 
--- a/node/src/main/java/io/cardamomshelf/node/schedule/Reign.java
+++ b/node/src/main/java/io/cardamomshelf/node/schedule/Reign.java
@@ -4,6 +4,7 @@
 import io.cardamomshelf.core.base.OrganisationId;
 import io.cardamomshelf.core.base.WorkerId;
 import io.cardamomshelf.core.schedule.Board;
+import io.cardamomshelf.core.schedule.FleetLoad;
 import io.cardamomshelf.core.schedule.LeaseClock;
 import io.cardamomshelf.core.schedule.Moment;
 import io.cardamomshelf.core.schedule.Order;
@@ -59,6 +60,7 @@
     private final Map<WorkerId, Long> sentEnds = new HashMap<>();
     private final Map<JobId, Long> endedSince = new HashMap<>();
     private final RoundNotes notes;
+    private final JobLedger ledger;
     private boolean roundDue;
     private boolean signing;
     private boolean over;
@@ -81,6 +83,7 @@
         this.board = new Board(parts.epoch() * RUNS_PER_EPOCH);
         this.advisor = new Advisor(parts, board, this::changed);
         this.notes = new RoundNotes(parts, board, jobs);
+        this.ledger = new JobLedger(parts.metrics(), board::rackOf);
         this.roster = new RosterKeeper(log, board, this::changed);
     }
 
@@ -125,6 +128,10 @@
         return parts.epoch();
     }
 
+    FleetLoad load() {
+        return board.load(parts.clock().now());
+    }
+
     SchedulerLog log() {
         return log;
     }
@@ -305,6 +312,7 @@
                     .with("configuration", configurationVersion())
                     .write();
             notes.started(start.task().job());
+            ledger.started(start, wallMillis());
             link.start(start);
         } else if (order instanceof Order.Stop stop) {
             EventLog.of(NodeEvent.STOP_ORDERED)
@@ -313,10 +321,15 @@
                     .with("worker", stop.worker())
                     .with("reason", stop.reason())
                     .write();
+            ledger.stopped(stop, notes.priorityOf(stop.task().job()));
             link.stop(stop);
         }
     }
 
+    private long wallMillis() {
+        return parts.clock().now().wallMillis();
+    }
+
     private long configurationVersion() {
         return operators.configuration().map(Configuration::version).orElse(-1L);
     }
@@ -364,6 +377,11 @@
                 .with("job", id)
                 .with("state", progress.state())
                 .write();
+        if (progress.state().isEnded()) {
+            jobs.find(id)
+                    .flatMap(JobsView.Entry::job)
+                    .ifPresent(job -> ledger.ended(job, progress.state(), wallMillis()));
+        }
     }
 
     /** Drops the records of jobs that have been over for longer than callers may ask. */
--- a/node/src/main/java/io/cardamomshelf/node/schedule/RoundNotes.java
+++ b/node/src/main/java/io/cardamomshelf/node/schedule/RoundNotes.java
@@ -3,6 +3,7 @@
 import io.cardamomshelf.core.base.JobId;
 import io.cardamomshelf.core.base.WorkerId;
 import io.cardamomshelf.core.schedule.Board;
+import io.cardamomshelf.core.schedule.FleetLoad;
 import io.cardamomshelf.core.schedule.WaitReason;
 import io.cardamomshelf.node.event.EventLog;
 import io.cardamomshelf.node.event.NodeEvent;
@@ -20,11 +21,15 @@
  */
 final class RoundNotes {
 
+    /** How often the fleet's load is noted while jobs wait, in milliseconds. */
+    private static final long LOAD_MILLIS = 1_000;
+
     private final ReignParts parts;
     private final Board board;
     private final JobsView jobs;
     private final Set<JobId> firstStarts = new HashSet<>();
     private Map<JobId, WaitReason> lastWaits = Map.of();
+    private long loadNotedMillis = Long.MIN_VALUE / 2;
     private Set<WorkerId> lastLagging = Set.of();
 
     RoundNotes(ReignParts parts, Board board, JobsView jobs) {
@@ -37,6 +42,7 @@
     void round() {
         noteWaits();
         noteLagging();
+        noteLoad();
     }
 
     /** Notes a job that an earlier scheduler may have started. */
@@ -88,6 +94,32 @@
         lastWaits = waits;
     }
 
+    /** The priority of a job's queue, -1 if the job isn't known any more. */
+    int priorityOf(JobId id) {
+        return jobs.find(id)
+                .flatMap(JobsView.Entry::job)
+                .map(job -> job.queue().priority())
+                .orElse(-1);
+    }
+
+    /** Tells from the same line whether work waits for room, or while there is room. */
+    private void noteLoad() {
+        long now = parts.clock().steadyMillis();
+        if (lastWaits.isEmpty() || now - loadNotedMillis < LOAD_MILLIS) {
+            return;
+        }
+        loadNotedMillis = now;
+        FleetLoad load = board.load(parts.clock().now());
+        EventLog.of(NodeEvent.FLEET_LOAD)
+                .with("accelerators", load.accelerators())
+                .with("free", load.free())
+                .with("held", load.held())
+                .with("running", load.running())
+                .with("waiting", load.waiting())
+                .with("waitingJobs", lastWaits.size())
+                .write();
+    }
+
     private void noteLagging() {
         Set<WorkerId> lagging = board.lagging();
         if (!lagging.equals(lastLagging)) {
--- a/node/src/main/java/io/cardamomshelf/node/schedule/Scheduling.java
+++ b/node/src/main/java/io/cardamomshelf/node/schedule/Scheduling.java
@@ -2,6 +2,7 @@
 
 import io.cardamomshelf.core.base.WorkerId;
 import io.cardamomshelf.core.schedule.ElectionTimer;
+import io.cardamomshelf.core.schedule.FleetLoad;
 import io.cardamomshelf.core.schedule.Moment;
 import io.cardamomshelf.core.schedule.Tenure;
 import io.cardamomshelf.core.schedule.WorkerInfo;
@@ -188,6 +189,15 @@
         return reign != null;
     }
 
+    /**
+     * Returns how the accelerators are used.
+     *
+     * @return the load as of the last round, never null; of nothing unless this process leads
+     */
+    public FleetLoad load() {
+        return reign == null ? FleetLoad.NONE : reign.load();
+    }
+
     /** Takes a new configuration or evacuation. */
     public void configured() {
         if (reign != null) {
