Waiting gangs are promised room that is expected, not room that stands idle

Cause: Reservations kept whole workers idle for the two gangs that had waited longest, from everybody, whether or not the gangs could start soon; all other gangs waited behind that idle room (NO_ROOM with 5 to 40 of 264 accelerators free and held), and were themselves kept no room at all, so that less urgent single tasks took each gap.

Mend: every waiting gang (40 at most) is promised the room that is expected to be free soonest. Less urgent work may use it only if it ends before (EASY backfill, by its estimate). Equally urgent work passes, but for one gang at a time: the first that can still be in time if it starts then, or one that has waited twice its objective, so that wide gangs don't starve.

--- a/core/src/main/java/io/cardamomshelf/core/schedule/Placer.java
+++ b/core/src/main/java/io/cardamomshelf/core/schedule/Placer.java
@@ -100,7 +100,7 @@
             List<WorkerState> workers, TaskGroup group, int count) {
         int copies = 0;
         for (WorkerState worker : workers) {
-            copies += copies(worker, group, room.free(worker));
+            copies += copies(worker, group, room.freeFor(group, worker));
         }
         if (copies < count) {
             return Optional.empty();
@@ -125,7 +125,7 @@
         double bestLeft = Double.MAX_VALUE;
         for (WorkerState worker : workers) {
             int already = taken.getOrDefault(worker, 0);
-            Resources free = room.free(worker);
+            Resources free = room.freeFor(group, worker);
             if (copies(worker, group, free) <= already) {
                 continue;
             }
--- a/core/src/main/java/io/cardamomshelf/core/schedule/RoomBook.java
+++ b/core/src/main/java/io/cardamomshelf/core/schedule/RoomBook.java
@@ -3,20 +3,37 @@
 import io.cardamomshelf.core.base.DataCentreId;
 import io.cardamomshelf.core.base.WorkerId;
 import io.cardamomshelf.core.task.Resources;
+import io.cardamomshelf.core.task.StepSpec;
+import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
 
-/** The room that a round may give away: what is free, less what the round holds for others. */
+/**
+ * The room that a round may give away: what is free, less what the round holds for others, and less
+ * what it promised to work that can't start yet.
+ */
 final class RoomBook {
 
+    /**
+     * Room that waiting work will need.
+     *
+     * @param amount how much
+     * @param keptFrom the most urgent priority that may not use it for longer
+     * @param neededMillis when it is needed, on the steady clock
+     */
+    private record Promise(Resources amount, int keptFrom, long neededMillis) {}
+
     private final Board board;
     private final Collection<WorkerState> workers;
     private final Set<DataCentreId> closed;
     private final long nowMillis;
     private final Map<WorkerId, Resources> held = new HashMap<>();
+    private final Map<WorkerId, List<Promise>> promises = new HashMap<>();
+    private final Map<WorkerId, List<Run>> byEnd = new HashMap<>();
 
     RoomBook(Board board, long nowMillis) {
         this.board = board;
@@ -33,15 +50,59 @@
         held.merge(worker.id(), amount, Resources::plus);
     }
 
+    /** Keeps room from work of a priority or less urgent that would still be there when needed. */
+    void promise(WorkerState worker, Resources amount, int keptFrom, long neededMillis) {
+        promises.computeIfAbsent(worker.id(), any -> new ArrayList<>())
+                .add(new Promise(amount, keptFrom, neededMillis));
+    }
+
+    /** What a group's tasks may take of a worker, by its priority and its estimate. */
+    Resources freeFor(TaskGroup group, WorkerState worker) {
+        Resources free = free(worker);
+        List<Promise> made = promises.getOrDefault(worker.id(), List.of());
+        if (made.isEmpty()) {
+            return free;
+        }
+        int priority = board.policy(group.owner()).priority();
+        long end = endMillis(group.spec());
+        for (Promise promise : made) {
+            if (priority >= promise.keptFrom() && end > promise.neededMillis()) {
+                free = free.minus(promise.amount());
+            }
+        }
+        return free;
+    }
+
+    /** What is free and was promised to nobody. */
+    Resources unpromised(WorkerState worker) {
+        Resources free = free(worker);
+        for (Promise promise : promises.getOrDefault(worker.id(), List.of())) {
+            free = free.minus(promise.amount());
+        }
+        return free;
+    }
+
+    /** The runs of a worker that end at all, the first to end first. */
+    List<Run> byEnd(WorkerState worker) {
+        return byEnd.computeIfAbsent(
+                worker.id(),
+                any ->
+                        worker.runs().stream()
+                                .filter(run -> !run.group.spec().longRunning() || run.isLeaving())
+                                .sorted(Comparator.comparingLong(this::leftMillis))
+                                .toList());
+    }
+
     /** What is held of accelerators that are free, over all workers. */
     int heldAccelerators() {
         return workers.stream()
-                .filter(worker -> held.containsKey(worker.id()))
                 .mapToInt(
-                        worker ->
-                                Math.min(
-                                        Math.max(0, worker.free().accelerators()),
-                                        held.get(worker.id()).accelerators()))
+                        worker -> {
+                            int free = Math.max(0, worker.free().accelerators());
+                            return free
+                                    - Math.max(
+                                            0, Math.min(free, unpromised(worker).accelerators()));
+                        })
                 .sum();
     }
 
@@ -67,4 +128,13 @@
                 && !closed.contains(info.dataCentre())
                 && (label.isEmpty() || info.labels().contains(label));
     }
+
+    private long leftMillis(Run run) {
+        return run.isLeaving() ? 0 : run.remainingMillis(nowMillis);
+    }
+
+    private long endMillis(StepSpec spec) {
+        boolean known = spec.estimateMillis() > 0 && !spec.longRunning();
+        return known ? nowMillis + spec.estimateMillis() : Long.MAX_VALUE;
+    }
 }
--- a/core/src/main/java/io/cardamomshelf/core/schedule/Round.java
+++ b/core/src/main/java/io/cardamomshelf/core/schedule/Round.java
@@ -138,7 +138,8 @@
             return true;
         }
         if (waits) {
-            reservations.reserve(group, count, Placer.wantedRacks(candidates(group), group));
+            reservations.reserve(
+                    group, count, policy.priority(), Placer.wantedRacks(candidates(group), group));
             return waitsFor(group, WaitReason.WANTED_RACK);
         }
         Optional<Preemption.Plan> plan =
@@ -147,7 +148,7 @@
                         : Optional.empty();
         plan.ifPresent(found -> reclaim(group, found));
         if (plan.isEmpty()) {
-            reservations.reserve(group, count, List.of(candidates(group)));
+            reservations.reserve(group, count, policy.priority(), List.of(candidates(group)));
         }
         return waitsFor(group, plan.isPresent() ? WaitReason.RECLAIMING : WaitReason.NO_ROOM);
     }
