When a gang could start is forecast in a class of its own

Reservations only decides who is promised what; Forecast tells when workers are likely to have room. The objective of a repeated job counts from the due time of its occurrence.

--- a/core/src/main/java/io/cardamomshelf/core/schedule/Reservations.java
+++ b/core/src/main/java/io/cardamomshelf/core/schedule/Reservations.java
@@ -1,9 +1,6 @@
 package io.cardamomshelf.core.schedule;
 
-import io.cardamomshelf.core.task.Resources;
-import java.util.ArrayList;
 import java.util.Collection;
-import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
 
@@ -26,22 +23,15 @@
     /** A gang that waits so often its objective has starved, and comes before its equals. */
     private static final int STARVED_FACTOR = 2;
 
-    /** How much sooner another rack must be free before a promise moves there, in milliseconds. */
-    private static final long MOVE_MILLIS = 500;
-
-    /** The soonest that a run is taken to end, in milliseconds; one that is leaving takes this. */
-    private static final long SOONEST_MILLIS = 200;
-
-    /** Room for one task of a gang, and when it is likely to be free on the steady clock. */
-    private record Slot(WorkerState worker, long freeMillis) {}
-
     private final RoomBook room;
+    private final Forecast forecast;
     private final Moment now;
     private int made;
     private boolean madeBeforeEquals;
 
-    Reservations(RoomBook room, Moment now) {
+    Reservations(RoomBook room, Forecast forecast, Moment now) {
         this.room = room;
+        this.forecast = forecast;
         this.now = now;
     }
 
@@ -54,86 +44,28 @@
         if (!group.spec().gang() || made >= MOST) {
             return;
         }
-        Optional<List<Slot>> chosen = soonest(group, count, choices);
+        Optional<Forecast.Start> chosen = forecast.soonest(group, count, choices);
         if (chosen.isEmpty()) {
             return;
         }
         made++;
-        List<Slot> slots = chosen.get();
-        group.reserveRack(slots.get(0).worker().info().rack());
-        int keptFrom = comesBeforeEquals(group, freeMillis(slots)) ? priority : priority + 1;
-        for (Slot slot : slots) {
-            room.promise(slot.worker(), group.spec().allocation(), keptFrom, freeMillis(slots));
+        Forecast.Start start = chosen.get();
+        group.reserveRack(start.rack());
+        int keptFrom = comesBeforeEquals(group, start) ? priority : priority + 1;
+        for (WorkerState host : start.hosts()) {
+            room.promise(host, group.spec().allocation(), keptFrom, start.freeMillis());
         }
     }
 
     /** Whether it is the first gang that can still be in time, or has starved. */
-    private boolean comesBeforeEquals(TaskGroup group, long startMillis) {
+    private boolean comesBeforeEquals(TaskGroup group, Forecast.Start start) {
         if (madeBeforeEquals) {
             return false;
         }
         long objective = group.owner().job().objectiveMillis();
-        long inMillis = startMillis - now.steadyMillis() + group.spec().estimateMillis();
-        long since = now.wallMillis() - group.owner().job().acceptedMillis();
+        long inMillis = start.freeMillis() - now.steadyMillis() + group.spec().estimateMillis();
+        long since = now.wallMillis() - group.sinceMillis();
         madeBeforeEquals = since + inMillis <= objective || since > STARVED_FACTOR * objective;
         return madeBeforeEquals;
     }
-
-    /** The slots of the set of workers on which all tasks could start soonest. */
-    private Optional<List<Slot>> soonest(
-            TaskGroup group, int count, Collection<List<WorkerState>> choices) {
-        return choices.stream()
-                .filter(workers -> Placer.couldTake(workers, group, count))
-                .map(workers -> slots(group, count, workers))
-                .filter(slots -> slots.size() == count)
-                .min(Comparator.comparingLong(slots -> readiness(group, slots)));
-    }
-
-    private long readiness(TaskGroup group, List<Slot> slots) {
-        boolean stays = slots.get(0).worker().info().rack().equals(group.reservedRack());
-        return freeMillis(slots) - (stays ? MOVE_MILLIS : 0);
-    }
-
-    /** When the last of the slots is likely to be free. */
-    private static long freeMillis(List<Slot> slots) {
-        return slots.get(slots.size() - 1).freeMillis();
-    }
-
-    private List<Slot> slots(TaskGroup group, int count, List<WorkerState> workers) {
-        List<Slot> slots = new ArrayList<>();
-        workers.forEach(worker -> addSlots(group, worker, slots));
-        slots.sort(
-                Comparator.comparingLong(Slot::freeMillis)
-                        .thenComparing(slot -> slot.worker().id()));
-        return slots.subList(0, Math.min(count, slots.size()));
-    }
-
-    /** Adds what is free now and what each run leaves at its end, without what was promised. */
-    private void addSlots(TaskGroup group, WorkerState worker, List<Slot> slots) {
-        Resources free = room.unpromised(worker);
-        int known = addSlots(group, worker, free, 0, now.steadyMillis(), slots);
-        for (Run run : room.byEnd(worker)) {
-            free = free.plus(run.group.spec().allocation());
-            known = addSlots(group, worker, free, known, endMillis(run), slots);
-        }
-    }
-
-    private static int addSlots(
-            TaskGroup group,
-            WorkerState worker,
-            Resources free,
-            int known,
-            long millis,
-            List<Slot> slots) {
-        int copies = Placer.copies(worker, group, free);
-        for (int i = known; i < copies; i++) {
-            slots.add(new Slot(worker, millis));
-        }
-        return Math.max(known, copies);
-    }
-
-    private long endMillis(Run run) {
-        long left = run.isLeaving() ? 0 : run.remainingMillis(now.steadyMillis());
-        return now.steadyMillis() + Math.max(SOONEST_MILLIS, left);
-    }
 }
--- a/core/src/main/java/io/cardamomshelf/core/schedule/Round.java
+++ b/core/src/main/java/io/cardamomshelf/core/schedule/Round.java
@@ -37,7 +37,8 @@
         this.now = now;
         this.room = new RoomBook(board, now.steadyMillis());
         this.placer = new Placer(room, now);
-        this.reservations = new Reservations(room, now);
+        Forecast forecast = new Forecast(room, now);
+        this.reservations = new Reservations(room, forecast, now);
     }
 
     List<Order> decide(Collection<LiveJob> jobs) {
--- a/core/src/main/java/io/cardamomshelf/core/schedule/TaskGroup.java
+++ b/core/src/main/java/io/cardamomshelf/core/schedule/TaskGroup.java
@@ -64,6 +64,13 @@
         return readyMillis;
     }
 
+    /** What its job's objective counts from, in milliseconds since 1970. */
+    long sinceMillis() {
+        return owner.job().request().isTimed()
+                ? owner.job().request().dueMillis(occurrence)
+                : owner.job().acceptedMillis();
+    }
+
     StepId id() {
         return StepId.of(owner.job().id(), occurrence, step);
     }
