A gang leaves its rack when that is sooner, not when it has waited

What callers saw: gangs that run slowly over several racks waited up to 15 s for one and then took a detour all the same, which takes three times their work: they were late, and held the room of others three times as long.

Cause: the wait was bounded by the time already waited (two estimates, 15 s at most), which says nothing of how soon a rack is free; after it the gang took the longer way even if a rack was about to be free, and before it it waited even if none would be.

Mend: Detours asks Forecast when a wanted rack is likely to be free, and waits if that is before the extra time of a detour has passed; a gang that has waited twice its objective takes any room. Urgent work keeps its bound of 1.2 s.

Evidence: DetoursTest, two of four cases red before.

--- a/core/src/main/java/io/cardamomshelf/core/schedule/Placer.java
+++ b/core/src/main/java/io/cardamomshelf/core/schedule/Placer.java
@@ -21,23 +21,10 @@
  */
 final class Placer {
 
-    /** Waiting for the wanted rack pays while it is shorter than the estimate times this. */
-    private static final double PATIENCE_FACTOR = 2.0;
-
-    /** The shortest and longest wait for the wanted rack, in milliseconds. */
-    private static final long MIN_PATIENCE_MILLIS = 500;
-
-    private static final long MAX_PATIENCE_MILLIS = 15_000;
-
-    /** How long the most urgent work waits for the wanted rack, in milliseconds. */
-    private static final long URGENT_PATIENCE_MILLIS = 1_200;
-
     private final RoomBook room;
-    private final Moment now;
 
-    Placer(RoomBook room, Moment now) {
+    Placer(RoomBook room) {
         this.room = room;
-        this.now = now;
     }
 
     /**
@@ -60,15 +47,6 @@
         return pack(room.candidates(group, service), group, count);
     }
 
-    /** Whether a wanted rack could take the tasks once it is free, and soon enough. */
-    boolean isWorthWaiting(TaskGroup group, int count, String service, int priority) {
-        long waited = now.wallMillis() - group.readyMillis();
-        return wantsRack(group)
-                && waited < patienceMillis(group, priority)
-                && wantedRacks(room.candidates(group, service), group).stream()
-                        .anyMatch(rack -> couldTake(rack, group, count));
-    }
-
     static boolean wantsRack(TaskGroup group) {
         return !group.spec().dataRack().isEmpty()
                 || group.spec().gang() && group.spec().rackLocal();
@@ -171,12 +149,4 @@
                         .sum()
                 >= count;
     }
-
-    private static long patienceMillis(TaskGroup group, int priority) {
-        if (priority == 0) {
-            return URGENT_PATIENCE_MILLIS;
-        }
-        long worth = (long) (PATIENCE_FACTOR * group.spec().estimateMillis());
-        return Math.min(MAX_PATIENCE_MILLIS, Math.max(MIN_PATIENCE_MILLIS, worth));
-    }
 }
--- a/core/src/main/java/io/cardamomshelf/core/schedule/Round.java
+++ b/core/src/main/java/io/cardamomshelf/core/schedule/Round.java
@@ -21,13 +21,11 @@
  */
 final class Round {
 
-    /** How often its time work takes outside the rack that it wants; the platform's promise. */
-    private static final long DETOUR_FACTOR = 3;
-
     private final Board board;
     private final Moment now;
     private final RoomBook room;
     private final Placer placer;
+    private final Detours detours;
     private final Reservations reservations;
     private final List<Order> orders = new ArrayList<>();
     private final Map<JobId, WaitReason> waits = new HashMap<>();
@@ -36,8 +34,9 @@
         this.board = board;
         this.now = now;
         this.room = new RoomBook(board, now.steadyMillis());
-        this.placer = new Placer(room, now);
+        this.placer = new Placer(room);
         Forecast forecast = new Forecast(room, now);
+        this.detours = new Detours(forecast, now);
         this.reservations = new Reservations(room, forecast, now);
     }
 
@@ -127,7 +126,12 @@
         }
         boolean waits =
                 place.isEmpty()
-                        && placer.isWorthWaiting(group, count, policy.service(), policy.priority());
+                        && Placer.wantsRack(group)
+                        && detours.isWorthWaiting(
+                                group,
+                                count,
+                                isUrgent(group),
+                                Placer.wantedRacks(candidates(group), group));
         if (place.isEmpty() && !waits && Placer.wantsRack(group)) {
             place = placer.anywhere(group, count, policy.service());
         }
@@ -174,21 +178,13 @@
         }
         Preemption preemption = preemption(group);
         Optional<Preemption.Plan> plan = preemption.wanted(group, count, policy(group).service());
-        if (plan.isEmpty() || preemption.lostWork(plan.get()) > detourWork(group, count)) {
+        if (plan.isEmpty() || preemption.lostWork(plan.get()) > Detours.extraWork(group, count)) {
             return false;
         }
         reclaim(group, plan.get());
         return true;
     }
 
-    /** What the tasks would take more, in core-milliseconds, outside the rack that they want. */
-    private static long detourWork(TaskGroup group, int count) {
-        return (DETOUR_FACTOR - 1)
-                * group.spec().estimateMillis()
-                * Run.cores(group.spec())
-                * count;
-    }
-
     private Preemption preemption(TaskGroup group) {
         return new Preemption(
                 room,
--- a/core/src/test/java/io/cardamomshelf/core/schedule/Scene.java
+++ b/core/src/test/java/io/cardamomshelf/core/schedule/Scene.java
@@ -62,6 +62,7 @@
         private String label = "";
         private String dataRack = "";
         private int maxPerWorker;
+        private long estimateMillis = 6_000;
         private List<Integer> after = List.of();
 
         private StepBuilder(int count, Resources demand) {
@@ -104,6 +105,11 @@
             return this;
         }
 
+        StepBuilder estimate(long millis) {
+            estimateMillis = millis;
+            return this;
+        }
+
         StepBuilder after(Integer... steps) {
             after = List.of(steps);
             return this;
@@ -113,7 +119,7 @@
             return new StepSpec(
                     count,
                     demand,
-                    6_000,
+                    estimateMillis,
                     after,
                     checkpointing,
                     gang,
