--- a/core/src/main/java/io/cardamomshelf/core/schedule/FleetLoad.java
+++ b/core/src/main/java/io/cardamomshelf/core/schedule/FleetLoad.java
@@ -16,7 +16,7 @@
  *
  * @param accelerators those of all workers that take starts
  * @param free those of them that no run has
- * @param held the free ones that the last round kept back for waiting work
+ * @param held the free ones that the last round held or promised for waiting work
  * @param running the accelerators of runs that aren't being stopped, by priority of their queue
  * @param waiting the accelerators of tasks that could start now, by priority of their queue
  */
--- a/core/src/main/java/io/cardamomshelf/core/schedule/RoomBook.java
+++ b/core/src/main/java/io/cardamomshelf/core/schedule/RoomBook.java
@@ -22,7 +22,7 @@
      * Room that waiting work will need.
      *
      * @param amount how much
-     * @param keptFrom the most urgent priority that may not use it for longer
+     * @param keptFrom the most urgent priority that it is kept from
      * @param neededMillis when it is needed, on the steady clock
      */
     private record Promise(Resources amount, int keptFrom, long neededMillis) {}
@@ -50,7 +50,9 @@
         held.merge(worker.id(), amount, Resources::plus);
     }
 
-    /** Keeps room from work of a priority or less urgent that would still be there when needed. */
+    /**
+     * Keeps room from work of this priority or less urgent that would still run when it is needed.
+     */
     void promise(WorkerState worker, Resources amount, int keptFrom, long neededMillis) {
         promises.computeIfAbsent(worker.id(), any -> new ArrayList<>())
                 .add(new Promise(amount, keptFrom, neededMillis));
@@ -93,17 +95,15 @@
                                 .toList());
     }
 
-    /** What is held of accelerators that are free, over all workers. */
+    /** The free accelerators of all workers that are held or promised. */
     int heldAccelerators() {
-        return workers.stream()
-                .mapToInt(
-                        worker -> {
-                            int free = Math.max(0, worker.free().accelerators());
-                            return free
-                                    - Math.max(
-                                            0, Math.min(free, unpromised(worker).accelerators()));
-                        })
-                .sum();
+        return workers.stream().mapToInt(this::heldAccelerators).sum();
+    }
+
+    private int heldAccelerators(WorkerState worker) {
+        int free = Math.max(0, worker.free().accelerators());
+        int left = Math.max(0, unpromised(worker).accelerators());
+        return Math.max(0, free - left);
     }
 
     /** The workers that a group may use now, without those that failed it if there are others. */
--- a/core/src/main/java/io/cardamomshelf/core/schedule/Round.java
+++ b/core/src/main/java/io/cardamomshelf/core/schedule/Round.java
@@ -115,7 +115,7 @@
 
     /**
      * Places tasks that start together: where they want to be, else, if urgent, there by stops that
-     * cost less than the detour, else anywhere once waiting doesn't pay any more.
+     * cost less than the detour, else anywhere if that is sooner than to wait.
      */
     private boolean place(TaskGroup group, List<Integer> waiting) {
         QueuePolicy policy = policy(group);
