--- a/node/src/main/java/io/cardamomshelf/node/schedule/JobLedger.java
+++ b/node/src/main/java/io/cardamomshelf/node/schedule/JobLedger.java
@@ -81,6 +81,11 @@
                 .write();
     }
 
+    /** Forgets a job that ended before its last orders. */
+    void forget(JobId id) {
+        accounts.remove(id);
+    }
+
     private static long sinceAccepted(Account account, TaskJob job) {
         return account.firstStartMillis < 0 ? -1 : account.firstStartMillis - job.acceptedMillis();
     }
--- a/node/src/main/java/io/cardamomshelf/node/schedule/Reign.java
+++ b/node/src/main/java/io/cardamomshelf/node/schedule/Reign.java
@@ -395,6 +395,7 @@
             }
             board.forget(id);
             notes.forget(id);
+            ledger.forget(id);
             long since = endedSince.computeIfAbsent(id, any -> now);
             if (now - since > parts.settings().stateKeptMillis()) {
                 drops.addAll(JobRecords.drops(id));
