A scheduler that stops before its first round hands leadership on

What callers saw: nothing was started for the 1.5 to 1.8 s until the successor took the silence for a death, after a planned stop of a process that had just been elected.

Cause: resign looked at the reign only. From the append that elects a process until its own record has been read back (up to a pause of the follower, 80 ms, and a read) there is none yet, and while that append is under way there isn't either; the stop dropped the office without a record of it.

Evidence: SuccessionTest, takeOverAtOnceFromOneThatStopsBeforeItsFirstRound and ...WhileItStands, both red before (no successor 700 ms after the stop), both pass. An election under way is settled first, then handed on. Ruled out: log lines lost by the stop's halt, as the process lives on for 2.5 s after it.

--- a/node/src/main/java/io/cardamomshelf/node/schedule/Scheduling.java
+++ b/node/src/main/java/io/cardamomshelf/node/schedule/Scheduling.java
@@ -81,6 +81,7 @@
     private long electedAt = -1;
     private Reign waiting;
     private Reign reign;
+    private Runnable whenResigned = () -> {};
 
     /**
      * Creates a candidate.
@@ -147,36 +148,19 @@
     }
 
     /**
-     * Hands leadership on, if it is here, and stands no more.
+     * Hands leadership on, if it is here or about to be, and stands no more.
      *
-     * @return completes when that is stored, or at once
+     * @return completes when that is stored, or at once if there is nothing to hand on
      */
     public Uni<Void> resign() {
         stopped = true;
-        waiting = null;
-        if (reign == null) {
-            return Uni.createFrom().voidItem();
-        }
-        Reign last = reign;
-        reign = null;
         return Uni.createFrom()
                 .emitter(
                         emitter -> {
-                            last.retire();
-                            last.log()
-                                    .append(
-                                            List.of(
-                                                    leader(
-                                                            last.epoch(),
-                                                            true,
-                                                            last.isPredecessorOver())),
-                                            () -> {
-                                                EventLog.of(NodeEvent.LEADERSHIP_RESIGNED)
-                                                        .with("epoch", last.epoch())
-                                                        .write();
-                                                last.end();
-                                                emitter.complete(null);
-                                            });
+                            whenResigned = () -> emitter.complete(null);
+                            if (!standing) {
+                                handOn();
+                            }
                         });
     }
 
@@ -312,10 +296,13 @@
                     .with("outcome", outcome)
                     .write();
         }
+        if (stopped && !standing) {
+            handOn();
+        }
     }
 
     private void elected(long offset, Writer writer, Moment sent) {
-        if (stopped || jobs.leader().map(JobRecords.Leader::epoch).orElse(0L) > writer.epoch()) {
+        if (jobs.leader().map(JobRecords.Leader::epoch).orElse(0L) > writer.epoch()) {
             return;
         }
         long epoch = writer.epoch();
@@ -333,11 +320,33 @@
                         new Tenure(sent, predecessorSettled));
         waiting = new Reign(parts, log, jobs, operators, workers, () -> deposed(epoch));
         electedAt = offset;
-        if (position.getAsLong() > offset) {
+        if (!stopped && position.getAsLong() > offset) {
             caughtUp();
         }
     }
 
+    /** An elected scheduler that hasn't begun holds the office too: others wait for its signs. */
+    private void handOn() {
+        Reign last = reign != null ? reign : waiting;
+        reign = null;
+        waiting = null;
+        if (last == null) {
+            whenResigned.run();
+            return;
+        }
+        last.retire();
+        last.log()
+                .append(
+                        List.of(leader(last.epoch(), true, last.isPredecessorOver())),
+                        () -> {
+                            EventLog.of(NodeEvent.LEADERSHIP_RESIGNED)
+                                    .with("epoch", last.epoch())
+                                    .write();
+                            last.end();
+                            whenResigned.run();
+                        });
+    }
+
     private void deposed(long epoch) {
         if (reign != null && reign.epoch() == epoch) {
             reign.end();
--- a/node/src/test/java/io/cardamomshelf/node/schedule/SuccessionTest.java
+++ b/node/src/test/java/io/cardamomshelf/node/schedule/SuccessionTest.java
@@ -13,17 +13,25 @@
 import io.cardamomshelf.node.port.StoredRecord;
 import io.cardamomshelf.node.store.JobRecords;
 import java.util.List;
+import java.util.function.BooleanSupplier;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 
 /** Two schedulers, one after the other or beside each other, over one store and workers. */
 class SuccessionTest extends SchedulingScene {
 
+    /** Well under the silence after which a scheduler is taken for dead, in milliseconds. */
+    private static final long SOON_MILLIS = 700;
+
     private void awaitLeading(Process process) {
-        for (int i = 0; i < 1_000 && !process.scheduling.isLeading(); i++) {
-            time.pass(10);
+        passUntil(process.scheduling::isLeading);
+    }
+
+    private void passUntil(BooleanSupplier condition) {
+        for (int i = 0; i < 10_000 && !condition.getAsBoolean(); i++) {
+            time.pass(1);
         }
-        assertTrue(process.scheduling.isLeading());
+        assertTrue(condition.getAsBoolean());
     }
 
     @Nested
@@ -72,6 +80,32 @@
             assertEquals(1, workers.starts.size());
         }
 
+        @Test
+        void takeOverAtOnceFromOneThatStopsBeforeItsFirstRound() {
+            setUp("w1");
+            Process one = new Process("one");
+            time.pass(500);
+            Process two = new Process("two");
+            passUntil(() -> !store.records(Stream.JOBS).isEmpty());
+            assertFalse(one.scheduling.isLeading());
+            one.scheduling.resign().subscribe().with(done -> {});
+            time.pass(SOON_MILLIS);
+            assertTrue(two.scheduling.isLeading());
+        }
+
+        @Test
+        void takeOverAtOnceFromOneThatStopsWhileItStands() {
+            setUp("w1");
+            Process one = new Process("one");
+            time.pass(500);
+            Process two = new Process("two");
+            passUntil(() -> store.appends > 0);
+            assertEquals(List.of(), store.records(Stream.JOBS));
+            one.scheduling.resign().subscribe().with(done -> {});
+            time.pass(SOON_MILLIS);
+            assertTrue(two.scheduling.isLeading());
+        }
+
         @Test
         void neverBothRunATaskWhenTheStoreComesBackFromAnOutage() {
             setUp("w1", "w2");
