After a change of scheduler a job waits only for workers that may have runs of it

Cause: the store told only that a job may have runs, not where, and jobs were announced as soon as they waited. So the next scheduler had to take it that each may run on the worker that is silent.

Mend: a job's record names the workers that may have runs of it (HostNames), before they get any; a record of an older version names all. Gangs and jobs of one task do so one by one, and the room that they are promised ahead of time; jobs of many single tasks name all workers at once, as before. While the store seems to be away a job starts only where it is named.

Evidence: SuccessionTest startAtOnceWhatWaitedForRoomThoughAWorkerWithoutRunsOfItIsSilent, red before.

Tests changed: Scene and LoadPlay announce their jobs as before, now said by RunHosts.ANYWHERE.

--- a/core/src/main/java/io/cardamomshelf/core/schedule/Advice.java
+++ b/core/src/main/java/io/cardamomshelf/core/schedule/Advice.java
@@ -44,7 +44,7 @@
      * @return the workers, never null; none if the step's job is over
      */
     public List<WorkerId> adviceCandidates(StepId step, int most) {
-        Optional<LiveJob> job = board.job(step.job()).filter(found -> !found.isEnded());
+        Optional<LiveJob> job = board.jobs().find(step.job()).filter(found -> !found.isEnded());
         if (job.isEmpty()) {
             return List.of();
         }
--- a/core/src/main/java/io/cardamomshelf/core/schedule/Board.java
+++ b/core/src/main/java/io/cardamomshelf/core/schedule/Board.java
@@ -67,6 +67,7 @@
     /** Ends the loading of what an earlier scheduler left; jobs and workers are new from here. */
     public void endInheritance() {
         inheriting = false;
+        jobs.endInheritance(workers.unseen());
     }
 
     /**
@@ -111,12 +112,13 @@
     }
 
     /**
-     * Notes that progress was stored, so that a later scheduler knows that the job may have runs.
+     * Notes that the oldest progress under way was stored, so that a later scheduler knows where
+     * the job may have runs.
      *
      * @param id the job, not null
      */
     public void progressStored(JobId id) {
-        jobs.find(id).ifPresent(LiveJob::announced);
+        jobs.find(id).ifPresent(job -> job.hosts().stored());
     }
 
     /**
@@ -381,10 +383,6 @@
         return workers.all().stream().filter(w -> !workers.strays().isAt(w.id())).toList();
     }
 
-    Optional<LiveJob> job(JobId id) {
-        return jobs.find(id);
-    }
-
     Optional<WorkerState> worker(WorkerId id) {
         return workers.find(id);
     }
@@ -405,8 +403,9 @@
         return ++lastRun;
     }
 
-    void announce(LiveJob job) {
-        jobs.announce(job);
+    /** The jobs, to have it stored where they may have runs. */
+    JobBook jobs() {
+        return jobs;
     }
 
     /** While most workers are still to tell what they run, their room only seems to be taken. */
@@ -416,7 +415,7 @@
 
     /** An inherited job may run on a worker that hasn't told yet. */
     boolean isUncertain(LiveJob job) {
-        return job.isInherited() && !isAccountedFor();
+        return job.hosts().isInDoubt(isAccountedFor());
     }
 
     Order.Start start(TaskGroup group, int index, WorkerState worker, long number, Moment now) {
--- a/core/src/main/java/io/cardamomshelf/core/schedule/JobBook.java
+++ b/core/src/main/java/io/cardamomshelf/core/schedule/JobBook.java
@@ -1,6 +1,7 @@
 package io.cardamomshelf.core.schedule;
 
 import io.cardamomshelf.core.base.JobId;
+import io.cardamomshelf.core.base.WorkerId;
 import io.cardamomshelf.core.task.JobProgress;
 import io.cardamomshelf.core.task.JobState;
 import io.cardamomshelf.core.task.QueuePolicy;
@@ -19,6 +20,7 @@
 
     private final Map<JobId, LiveJob> jobs = new LinkedHashMap<>();
     private final Set<JobId> changed = new LinkedHashSet<>();
+    private final Set<LiveJob> doubted = new LinkedHashSet<>();
     private Map<String, QueuePolicy> queues = Map.of();
 
     void configure(Map<String, QueuePolicy> newQueues) {
@@ -67,12 +69,40 @@
         return steps;
     }
 
-    void announce(LiveJob job) {
-        if (job.announce()) {
-            changed.add(job.job().id());
+    /** Has it stored that a job may have runs on some workers. */
+    void name(LiveJob job, Collection<WorkerId> hosts, long nowMillis) {
+        if (job.hosts().want(hosts, nowMillis)) {
+            markChanged(job.job().id());
         }
     }
 
+    /** Has it stored that a job may have runs on any worker. */
+    void nameAnywhere(LiveJob job) {
+        if (job.hosts().wantAnywhere()) {
+            markChanged(job.job().id());
+        }
+    }
+
+    /** Ends the loading of jobs; runs that nobody has told may only be on these workers. */
+    void endInheritance(Set<WorkerId> unseen) {
+        for (LiveJob job : jobs.values()) {
+            job.hosts().inheritFrom(unseen);
+            if (job.hosts().isDoubtful()) {
+                doubted.add(job);
+            }
+        }
+    }
+
+    /** Notes that a worker has told all its runs, but for some jobs, or that none can be left. */
+    void accountedFor(WorkerId worker, Set<JobId> but) {
+        for (LiveJob job : doubted) {
+            if (!but.contains(job.job().id())) {
+                job.hosts().accountedFor(worker);
+            }
+        }
+        doubted.removeIf(job -> !job.hosts().isDoubtful());
+    }
+
     void markChanged(JobId id) {
         changed.add(id);
     }
@@ -94,7 +124,7 @@
     Map<JobId, JobProgress> takeChanged() {
         Map<JobId, JobProgress> result = new LinkedHashMap<>();
         for (JobId id : changed) {
-            find(id).ifPresent(job -> result.put(id, job.progress()));
+            find(id).ifPresent(job -> result.put(id, job.send()));
         }
         changed.clear();
         return result;
--- a/core/src/main/java/io/cardamomshelf/core/schedule/LiveJob.java
+++ b/core/src/main/java/io/cardamomshelf/core/schedule/LiveJob.java
@@ -1,5 +1,6 @@
 package io.cardamomshelf.core.schedule;
 
+import io.cardamomshelf.core.base.WorkerId;
 import io.cardamomshelf.core.task.JobProgress;
 import io.cardamomshelf.core.task.JobState;
 import io.cardamomshelf.core.task.QueuePolicy;
@@ -25,18 +26,10 @@
     }
 
     private final TaskJob job;
-    private final boolean inherited;
+    private final HostNames hosts;
     private final Map<GroupKey, TaskGroup> groups = new TreeMap<>();
     private final Map<GroupKey, StepProgress> restored = new TreeMap<>();
     private JobState state;
-    private Announcement announcement;
-
-    /** Whether a later scheduler would know that the job may have runs. */
-    private enum Announcement {
-        NONE,
-        SENT,
-        STORED
-    }
 
     /**
      * An inherited job may have runs that this scheduler doesn't know of yet; not so one of which
@@ -46,36 +39,19 @@
         JobProgress progress = stored.orElse(JobProgress.QUEUED);
         this.job = job;
         this.state = progress.state();
-        this.announcement = stored.isPresent() ? Announcement.STORED : Announcement.NONE;
-        this.inherited = inherited && stored.isPresent();
+        this.hosts = new HostNames(stored.map(JobProgress::hosts), inherited);
         for (StepProgress step : progress.steps()) {
             restored.put(new GroupKey(step.occurrence(), step.step()), step);
         }
     }
 
-    boolean isAnnounced() {
-        return announcement == Announcement.STORED;
-    }
-
-    /** Asks for the announcement, once; returns whether this was the first time. */
-    boolean announce() {
-        if (announcement != Announcement.NONE) {
-            return false;
-        }
-        announcement = Announcement.SENT;
-        return true;
-    }
-
-    void announced() {
-        announcement = Announcement.STORED;
-    }
-
     TaskJob job() {
         return job;
     }
 
-    boolean isInherited() {
-        return inherited;
+    /** Where its runs may be, as far as the store tells. */
+    HostNames hosts() {
+        return hosts;
     }
 
     JobState state() {
@@ -153,7 +129,8 @@
         return true;
     }
 
-    JobProgress progress() {
+    /** Returns the progress that is sent to the store now. */
+    JobProgress send() {
         Map<GroupKey, StepProgress> steps = new TreeMap<>(restored);
         groups.forEach(
                 (key, group) -> {
@@ -161,7 +138,12 @@
                         steps.put(key, group.progress());
                     }
                 });
-        return new JobProgress(state, List.copyOf(steps.values()));
+        List<WorkerId> running =
+                groups.values().stream()
+                        .flatMap(group -> group.runs().stream())
+                        .map(run -> run.worker.id())
+                        .toList();
+        return new JobProgress(state, List.copyOf(steps.values()), hosts.send(running));
     }
 
     /** The accelerators that its widest step takes at once. */
--- a/core/src/main/java/io/cardamomshelf/core/schedule/Placer.java
+++ b/core/src/main/java/io/cardamomshelf/core/schedule/Placer.java
@@ -30,8 +30,7 @@
     /**
      * Chooses a worker for each task in the rack that the group wants; anywhere if it wants none.
      */
-    Optional<List<WorkerState>> wanted(TaskGroup group, int count, String service) {
-        List<WorkerState> all = room.candidates(group, service);
+    Optional<List<WorkerState>> wanted(TaskGroup group, int count, List<WorkerState> all) {
         if (!wantsRack(group)) {
             return pack(all, group, count);
         }
@@ -43,8 +42,8 @@
     }
 
     /** Chooses a worker for each task, wherever there is room. */
-    Optional<List<WorkerState>> anywhere(TaskGroup group, int count, String service) {
-        return pack(room.candidates(group, service), group, count);
+    Optional<List<WorkerState>> anywhere(TaskGroup group, int count, List<WorkerState> all) {
+        return pack(all, group, count);
     }
 
     static boolean wantsRack(TaskGroup group) {
--- a/core/src/main/java/io/cardamomshelf/core/schedule/Reservations.java
+++ b/core/src/main/java/io/cardamomshelf/core/schedule/Reservations.java
@@ -39,14 +39,16 @@
      * Promises room to a waiting gang on one of several sets of workers, if any could take it.
      *
      * @param priority that of the gang's queue
+     * @return where it is likely to start, empty if it was promised nothing
      */
-    void reserve(TaskGroup group, int count, int priority, Collection<List<WorkerState>> choices) {
+    Optional<Forecast.Start> reserve(
+            TaskGroup group, int count, int priority, Collection<List<WorkerState>> choices) {
         if (!group.spec().gang() || made >= MOST) {
-            return;
+            return Optional.empty();
         }
         Optional<Forecast.Start> chosen = forecast.soonest(group, count, choices);
         if (chosen.isEmpty()) {
-            return;
+            return chosen;
         }
         made++;
         Forecast.Start start = chosen.get();
@@ -55,6 +57,7 @@
         for (WorkerState host : start.hosts()) {
             room.promise(host, group.spec().allocation(), keptFrom, start.freeMillis());
         }
+        return chosen;
     }
 
     /** Whether it is the first gang that can still be in time, or has starved. */
--- a/core/src/main/java/io/cardamomshelf/core/schedule/Round.java
+++ b/core/src/main/java/io/cardamomshelf/core/schedule/Round.java
@@ -2,6 +2,7 @@
 
 import io.cardamomshelf.core.base.JobId;
 import io.cardamomshelf.core.base.OrganisationId;
+import io.cardamomshelf.core.base.WorkerId;
 import io.cardamomshelf.core.task.QueuePolicy;
 import java.util.ArrayList;
 import java.util.Collection;
@@ -120,7 +121,7 @@
     private boolean place(TaskGroup group, List<Integer> waiting) {
         QueuePolicy policy = policy(group);
         int count = waiting.size();
-        Optional<List<WorkerState>> place = placer.wanted(group, count, policy.service());
+        Optional<List<WorkerState>> place = placer.wanted(group, count, candidates(group));
         if (place.isEmpty() && mayReclaim(group) && reclaimWanted(group, count)) {
             return waitsFor(group, WaitReason.RECLAIMING);
         }
@@ -133,18 +134,20 @@
                                 isUrgent(group),
                                 Placer.wantedRacks(candidates(group), group));
         if (place.isEmpty() && !waits && Placer.wantsRack(group)) {
-            place = placer.anywhere(group, count, policy.service());
+            place = placer.anywhere(group, count, candidates(group));
         }
-        if (place.isPresent() && !group.owner().isAnnounced()) {
-            return announce(group, place.get());
+        if (place.isPresent() && !isNamed(group, place.get())) {
+            place = announce(group, place.get());
+            if (place.isEmpty()) {
+                return waitsFor(group, WaitReason.ANNOUNCING);
+            }
         }
         if (place.isPresent()) {
             start(group, waiting, place.get());
             return true;
         }
         if (waits) {
-            reservations.reserve(
-                    group, count, policy.priority(), Placer.wantedRacks(candidates(group), group));
+            reserve(group, count, Placer.wantedRacks(candidates(group), group));
             return waitsFor(group, WaitReason.WANTED_RACK);
         }
         Optional<Preemption.Plan> plan =
@@ -153,20 +156,67 @@
                         : Optional.empty();
         plan.ifPresent(found -> reclaim(group, found));
         if (plan.isEmpty()) {
-            reservations.reserve(group, count, policy.priority(), List.of(candidates(group)));
+            reserve(group, count, List.of(candidates(group)));
         }
         return waitsFor(group, plan.isPresent() ? WaitReason.RECLAIMING : WaitReason.NO_ROOM);
     }
 
-    /** Keeps the room until it is stored that the job may have runs; then it starts. */
-    private boolean announce(TaskGroup group, List<WorkerState> hosts) {
-        group.owner().begin();
-        hosts.forEach(host -> room.hold(host, group.spec().allocation()));
-        return waitsFor(group, WaitReason.ANNOUNCING);
+    /**
+     * Keeps the room until it is stored that the job may have runs there. If the store seems to be
+     * away, finds a place among the workers that are named already.
+     */
+    private Optional<List<WorkerState>> announce(TaskGroup group, List<WorkerState> hosts) {
+        HostNames names = group.owner().hosts();
+        Optional<List<WorkerState>> known =
+                names.isLate(now.steadyMillis())
+                        ? placer.wanted(group, group.waiting().size(), named(group))
+                        : Optional.empty();
+        if (known.isEmpty()) {
+            group.owner().begin();
+            name(group, hosts);
+            hosts.forEach(host -> room.hold(host, group.spec().allocation()));
+        }
+        return known;
+    }
+
+    private List<WorkerState> named(TaskGroup group) {
+        return candidates(group).stream().filter(w -> isNamed(group, List.of(w))).toList();
+    }
+
+    private static boolean isNamed(TaskGroup group, List<WorkerState> hosts) {
+        return group.owner().hosts().covers(ids(hosts));
+    }
+
+    /** Single tasks end and start elsewhere all the time, so their hosts aren't told apart. */
+    private void name(TaskGroup group, List<WorkerState> hosts) {
+        if (isPlacedWhole(group)) {
+            board.jobs().name(group.owner(), ids(hosts), now.steadyMillis());
+        } else {
+            board.jobs().nameAnywhere(group.owner());
+        }
+    }
+
+    private static boolean isPlacedWhole(TaskGroup group) {
+        return group.spec().gang() || group.spec().count() == 1;
+    }
+
+    private static List<WorkerId> ids(List<WorkerState> hosts) {
+        return hosts.stream().map(WorkerState::id).toList();
+    }
+
+    /** Promises room, and names it ahead, so that the store isn't waited for once it is free. */
+    private void reserve(TaskGroup group, int count, Collection<List<WorkerState>> choices) {
+        Optional<Forecast.Start> start =
+                reservations.reserve(group, count, policy(group).priority(), choices);
+        if (!group.owner().hosts().isNamedAhead()) {
+            start.ifPresent(expected -> name(group, expected.hosts()));
+        }
     }
 
     private boolean waitsFor(TaskGroup group, WaitReason reason) {
-        board.announce(group.owner());
+        if (!isPlacedWhole(group)) {
+            board.jobs().nameAnywhere(group.owner());
+        }
         waits.put(group.owner().job().id(), reason);
         return false;
     }
@@ -194,6 +244,7 @@
     }
 
     private void reclaim(TaskGroup group, Preemption.Plan plan) {
+        name(group, plan.hosts());
         plan.hosts().forEach(host -> room.hold(host, group.spec().allocation()));
         for (Run victim : plan.victims()) {
             for (Run run : wholeGang(victim)) {
@@ -207,6 +258,7 @@
     }
 
     private void start(TaskGroup group, List<Integer> tasks, List<WorkerState> hosts) {
+        group.owner().hosts().used(ids(hosts));
         long run = board.nextRun();
         for (int i = 0; i < tasks.size(); i++) {
             orders.add(board.start(group, tasks.get(i), hosts.get(i), run, now));
--- a/core/src/main/java/io/cardamomshelf/core/schedule/WorkerBook.java
+++ b/core/src/main/java/io/cardamomshelf/core/schedule/WorkerBook.java
@@ -7,9 +7,11 @@
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.stream.Collectors;
 
 /**
  * The workers and their runs, kept in line with what the workers list.
@@ -76,6 +78,7 @@
     void lose(WorkerId id) {
         WorkerState state = workers.get(id);
         unseen.remove(id);
+        jobs.accountedFor(id, Set.of());
         if (state == null) {
             return;
         }
@@ -93,9 +96,12 @@
         worker.reported = true;
         unseen.remove(worker.id());
         lists.ended().forEach(ended -> end(worker, ended, now));
-        strays.replace(
+        List<WorkerLists.Running> unwanted =
+                lists.running().stream().filter(running -> !see(worker, running, now)).toList();
+        strays.replace(worker.id(), unwanted);
+        jobs.accountedFor(
                 worker.id(),
-                lists.running().stream().filter(running -> !see(worker, running, now)).toList());
+                unwanted.stream().map(run -> run.task().job()).collect(Collectors.toSet()));
         if (whole) {
             dropAbsent(worker, lists, askedMillis);
         }
--- a/core/src/test/java/io/cardamomshelf/core/schedule/LoadPlay.java
+++ b/core/src/test/java/io/cardamomshelf/core/schedule/LoadPlay.java
@@ -2,7 +2,6 @@
 
 import io.cardamomshelf.core.base.JobId;
 import io.cardamomshelf.core.base.OrganisationId;
-import io.cardamomshelf.core.task.JobProgress;
 import io.cardamomshelf.core.task.JobRequest;
 import io.cardamomshelf.core.task.JobState;
 import io.cardamomshelf.core.task.Resources;
@@ -165,7 +164,7 @@
         TaskJob job = new TaskJob(id, OrganisationId.of("circle"), kind.queue(), now, request);
         jobs.put(id, new Played(kind, job, new PlayedWorkers.Work(step, millis)));
         tallies.get(kind.name()).owed += jobs.get(id).weight();
-        board.putJob(job, Optional.of(JobProgress.QUEUED));
+        board.putJob(job, Optional.of(Scene.ANNOUNCED));
     }
 
     private void settle() {
--- a/core/src/test/java/io/cardamomshelf/core/schedule/Scene.java
+++ b/core/src/test/java/io/cardamomshelf/core/schedule/Scene.java
@@ -7,9 +7,11 @@
 import io.cardamomshelf.core.base.WorkerId;
 import io.cardamomshelf.core.task.JobProgress;
 import io.cardamomshelf.core.task.JobRequest;
+import io.cardamomshelf.core.task.JobState;
 import io.cardamomshelf.core.task.QueuePolicy;
 import io.cardamomshelf.core.task.Resources;
 import io.cardamomshelf.core.task.RunEnd;
+import io.cardamomshelf.core.task.RunHosts;
 import io.cardamomshelf.core.task.StepSpec;
 import io.cardamomshelf.core.task.TaskId;
 import io.cardamomshelf.core.task.TaskJob;
@@ -26,6 +28,10 @@
     static final OrganisationId ORGANISATION = OrganisationId.of("circle");
     static final long EPOCH_RUNS = 1_000_000;
 
+    /** A job of which it is stored that runs may be anywhere, so that it starts at once. */
+    static final JobProgress ANNOUNCED =
+            new JobProgress(JobState.QUEUED, List.of(), RunHosts.ANYWHERE);
+
     final Board board = new Board(EPOCH_RUNS);
     private final Map<WorkerId, Long> ends = new HashMap<>();
     private final Map<WorkerId, Long> born = new HashMap<>();
@@ -199,14 +205,14 @@
         JobRequest request = new JobRequest("x", List.of(step.build()), 0, 0, 0);
         board.putJob(
                 new TaskJob(job(id), ORGANISATION, policy, nowMillis, request),
-                Optional.of(JobProgress.QUEUED));
+                Optional.of(ANNOUNCED));
         return this;
     }
 
     Scene submit(int id, int priority, JobRequest request) {
         board.putJob(
                 new TaskJob(job(id), ORGANISATION, queue(priority), nowMillis, request),
-                Optional.of(JobProgress.QUEUED));
+                Optional.of(ANNOUNCED));
         return this;
     }
 
--- a/core/src/test/java/io/cardamomshelf/core/schedule/TakeoverTest.java
+++ b/core/src/test/java/io/cardamomshelf/core/schedule/TakeoverTest.java
@@ -10,6 +10,7 @@
 import io.cardamomshelf.core.task.JobRequest;
 import io.cardamomshelf.core.task.JobState;
 import io.cardamomshelf.core.task.RunEnd;
+import io.cardamomshelf.core.task.RunHosts;
 import io.cardamomshelf.core.task.TaskJob;
 import java.util.List;
 import java.util.Map;
@@ -35,7 +36,7 @@
             JobRequest request = new JobRequest("x", List.of(step.build()), 0, 0, 0);
             scene.board.putJob(
                     new TaskJob(Scene.job(1), Scene.ORGANISATION, Scene.queue(1), 1, request),
-                    Optional.of(new JobProgress(JobState.RUNNING, List.of())));
+                    Optional.of(new JobProgress(JobState.RUNNING, List.of(), RunHosts.ANYWHERE)));
         }
 
         @Test
@@ -49,6 +50,43 @@
             assertEquals(1, scene.starts().size());
         }
 
+        private void inheritFromThreeOfWhichTwoHaveTold(RunHosts hosts) {
+            JobRequest request =
+                    new JobRequest("x", List.of(step(1, 52_000, 270_000, 8).build()), 0, 0, 0);
+            scene.board.putJob(
+                    new TaskJob(Scene.job(1), Scene.ORGANISATION, Scene.queue(1), 1, request),
+                    Optional.of(new JobProgress(JobState.RUNNING, List.of(), hosts)));
+            scene.listWorker("w1", "r1-1").listWorker("w2", "r1-1").listWorker("w3", "r1-1");
+            scene.board.endInheritance();
+            scene.report("w1").report("w2");
+        }
+
+        @Test
+        void startsWhereItIsNamedThoughAnotherWorkerIsSilent() {
+            inheritFromThreeOfWhichTwoHaveTold(RunHosts.of(List.of(Scene.worker("w1"))));
+            assertEquals("w1", scene.starts().get(0).worker().value());
+        }
+
+        @Test
+        void startsNothingThatASilentWorkerMayHave() {
+            inheritFromThreeOfWhichTwoHaveTold(
+                    RunHosts.of(List.of(Scene.worker("w1"), Scene.worker("w3"))));
+            assertEquals(List.of(), scene.decide());
+            scene.report("w3");
+            assertEquals(1, scene.starts().size());
+        }
+
+        @Test
+        void startsNothingWhoseStrayRunIsStillBeingStopped() {
+            inheritFromThreeOfWhichTwoHaveTold(
+                    RunHosts.of(List.of(Scene.worker("w1"), Scene.worker("w3"))));
+            scene.report("w3", running(task(1, 0), 76), running(task(1, 0), 77));
+            scene.end("w3", task(1, 0), 76, RunEnd.STOPPED, "", running(task(1, 0), 77));
+            assertEquals(List.of(), scene.starts());
+            scene.report("w3");
+            assertEquals(1, scene.starts().size());
+        }
+
         @Test
         void startsNewJobsAtOnce() {
             scene.listWorker("w1", "r1-1").listWorker("w2", "r1-1");
@@ -74,6 +112,37 @@
             assertEquals(1, scene.starts().size());
         }
 
+        private Order.Start startsOnceNamed() {
+            assertEquals(List.of(), scene.starts());
+            scene.board.takeChanged();
+            scene.board.progressStored(Scene.job(1));
+            return scene.startAll().get(0);
+        }
+
+        @Test
+        void namesAnotherWorkerBeforeItStartsThere() {
+            JobRequest request =
+                    new JobRequest("x", List.of(step(1, 52_000, 270_000, 8).build()), 0, 0, 0);
+            scene.board.endInheritance();
+            scene.openWorker("w1", "r1-1").openWorker("w2", "r1-1");
+            scene.board.putJob(
+                    new TaskJob(Scene.job(1), Scene.ORGANISATION, Scene.queue(1), 1, request),
+                    Optional.empty());
+            Order.Start first = startsOnceNamed();
+            scene.end(first, RunEnd.FAILED);
+            assertNotEquals(first.worker(), startsOnceNamed().worker());
+        }
+
+        @Test
+        void startsAgainWhereItIsNamedWhileTheStoreIsAway() {
+            inheritFromThreeOfWhichTwoHaveTold(RunHosts.of(List.of(Scene.worker("w2"))));
+            assertEquals(List.of(), scene.starts());
+            scene.board.takeChanged();
+            assertEquals(List.of(), scene.starts());
+            scene.pass(600);
+            assertEquals("w2", scene.starts().get(0).worker().value());
+        }
+
         private void askForRoomWhileOneOfTwoHasTold() {
             inherit(step(1, 52_000, 270_000, 8));
             scene.listWorker("w1", "r1-1").listWorker("w2", "r1-1");
--- a/node/src/main/java/io/cardamomshelf/node/event/NodeEvent.java
+++ b/node/src/main/java/io/cardamomshelf/node/event/NodeEvent.java
@@ -73,7 +73,9 @@
     /** A run ended. */
     RUN_ENDED(5104, "A worker listed the end of a run."),
     /** Progress is stored. */
-    PROGRESS_STORED(5105, "A job's progress is stored."),
+    PROGRESS_STORED(
+            5105,
+            "A job's progress is stored; the line says on how many workers runs of it may be."),
     /** A job is over. */
     JOB_ENDED(5106, "A job is over; the line says how late, and what was ordered for it."),
     /** A worker is known. */
--- a/node/src/main/java/io/cardamomshelf/node/schedule/Reign.java
+++ b/node/src/main/java/io/cardamomshelf/node/schedule/Reign.java
@@ -376,6 +376,9 @@
         EventLog.of(NodeEvent.PROGRESS_STORED)
                 .with("job", id)
                 .with("state", progress.state())
+                .with(
+                        "hosts",
+                        progress.hosts().anywhere() ? "any" : progress.hosts().workers().size())
                 .write();
         if (progress.state().isEnded()) {
             jobs.find(id)
--- a/node/src/test/java/io/cardamomshelf/node/schedule/FakeWorkers.java
+++ b/node/src/test/java/io/cardamomshelf/node/schedule/FakeWorkers.java
@@ -15,6 +15,7 @@
 import java.util.Map;
 import java.util.OptionalLong;
 import java.util.Set;
+import java.util.TreeMap;
 import java.util.function.Function;
 
 /** Workers that hold runs and leases in memory, and may be cut off or lose answers. */
@@ -61,6 +62,22 @@
         return fakes.values().stream().anyMatch(fake -> fake.running.containsKey(task));
     }
 
+    WorkerId hostOf(TaskId task) {
+        return fakes.entrySet().stream()
+                .filter(entry -> entry.getValue().running.containsKey(task))
+                .map(Map.Entry::getKey)
+                .findFirst()
+                .orElseThrow();
+    }
+
+    /** What runs, by worker, as it is and not as the workers could tell. */
+    Map<WorkerId, Set<TaskId>> running() {
+        expire();
+        Map<WorkerId, Set<TaskId>> running = new TreeMap<>();
+        fakes.forEach((id, fake) -> running.put(id, Set.copyOf(fake.running.keySet())));
+        return running;
+    }
+
     @Override
     public Uni<Reply> start(
             Target target, Order.Start start, long leaseEnd, long token, long timeoutMillis) {
--- a/node/src/test/java/io/cardamomshelf/node/schedule/Paths.java
+++ b/node/src/test/java/io/cardamomshelf/node/schedule/Paths.java
@@ -34,6 +34,12 @@
         storeCut = true;
     }
 
+    /** Leaves the process without any path, as if it were dead. */
+    void cutAll(String... names) {
+        cutStore();
+        List.of(names).forEach(this::cutWorker);
+    }
+
     void cutWorker(String name) {
         cutWorkers.add(WorkerId.of(name));
     }
--- a/node/src/test/java/io/cardamomshelf/node/schedule/SuccessionTest.java
+++ b/node/src/test/java/io/cardamomshelf/node/schedule/SuccessionTest.java
@@ -8,6 +8,7 @@
 import io.cardamomshelf.core.base.WorkerId;
 import io.cardamomshelf.core.task.JobState;
 import io.cardamomshelf.core.task.RunEnd;
+import io.cardamomshelf.core.task.TaskId;
 import io.cardamomshelf.node.FakeStore.Trouble;
 import io.cardamomshelf.node.port.KeyedStore.Stream;
 import io.cardamomshelf.node.port.StoredRecord;
@@ -23,6 +24,9 @@
     /** Well under the silence after which a scheduler is taken for dead, in milliseconds. */
     private static final long SOON_MILLIS = 700;
 
+    private static final JobId SECOND = JobId.of("00000000000000ab");
+    private static final JobId THIRD = JobId.of("00000000000000ac");
+
     private void awaitLeading(Process process) {
         passUntil(process.scheduling::isLeading);
     }
@@ -214,6 +218,47 @@
             assertEquals(1, workers.starts.size());
         }
 
+        @Test
+        void startAtOnceWhatWaitedForRoomThoughAWorkerWithoutRunsOfItIsSilent() {
+            setUp("w1", "w2");
+            Process one = new Process("one");
+            time.pass(4_000);
+            submit(1, false);
+            submit(SECOND, 1, false);
+            time.pass(1_000);
+            submit(THIRD, 1, false);
+            time.pass(1_000);
+            workers.cut.add(workers.hostOf(TASK));
+            one.paths.cutAll("w1", "w2");
+            Process two = new Process("two");
+            awaitLeading(two);
+            time.pass(500);
+            TaskId second = TaskId.of(SECOND, 0, 0, 0);
+            workers.finish(workers.hostOf(second).value(), second, RunEnd.DONE);
+            time.pass(1_000);
+            assertTrue(workers.isRunning(TaskId.of(THIRD, 0, 0, 0)));
+            assertEquals(3, workers.starts.size());
+            assertEquals(List.of(), workers.overlaps);
+        }
+
+        @Test
+        void waitForASilentWorkerWithWhatMayRunThere() {
+            setUp("w1", "w2", "w3");
+            Process one = new Process("one");
+            time.pass(4_000);
+            submit(1, false);
+            time.pass(1_000);
+            workers.cut.add(workers.hostOf(TASK));
+            one.paths.cutAll("w1", "w2", "w3");
+            Process two = new Process("two");
+            awaitLeading(two);
+            time.pass(4_000);
+            assertEquals(1, workers.starts.size());
+            time.pass(5_000);
+            assertEquals(2, workers.starts.size());
+            assertEquals(List.of(), workers.overlaps);
+        }
+
         @Test
         void knowEveryWorkerThatMayHaveRuns() {
             setUp("w1", "w2");
