A worker at whose address another one answers is given up at once, not when its leases lapse

Cause: the adapter tells this answer apart (OTHER_INCARNATION, which did nothing), but WorkerLink took it for silence. It is the opposite: a worker is one life at its address, so the one that was asked for is over.

Mend: such an answer to a renewal ends the worker's runs on the board; one to a start keeps further starts away and has the worker asked at once. WORKER_LOST tells which of both causes it was.

Evidence: SuccessionTest startAtOnceWhatRanOnAWorkerAtWhoseAddressAnotherOneAnswers and SchedulingTest startsAgainElsewhereAtOnceWhenAnotherWorkerAnswersInThePlaceOfItsWorker, both red before.

Ruled out: that the answer may come from a worker that is merely slow or cut off, as those give none.

--- a/node/src/main/java/io/cardamomshelf/node/event/NodeEvent.java
+++ b/node/src/main/java/io/cardamomshelf/node/event/NodeEvent.java
@@ -87,7 +87,9 @@
     /** A worker answers again. */
     WORKER_ANSWERS(6004, "A silent worker answers again."),
     /** A worker's runs are over. */
-    WORKER_LOST(6005, "A worker's leases have lapsed without an answer; its runs are over."),
+    WORKER_LOST(
+            6005,
+            "A worker's runs are over: its leases have lapsed, or another one answers for it."),
     /** The set of slow workers has changed. */
     WORKERS_LAGGING(
             6006, "The workers on which work stands still or goes slowly; they get no starts."),
--- a/node/src/main/java/io/cardamomshelf/node/schedule/WorkerLink.java
+++ b/node/src/main/java/io/cardamomshelf/node/schedule/WorkerLink.java
@@ -184,10 +184,19 @@
                 listed(answer, asked.steadyMillis());
             }
             case FENCED -> host.fenced(info);
+            case OTHER_INCARNATION -> replaced();
             default -> unanswered(answer);
         }
     }
 
+    /** Another worker has the address, so the life that was asked for, and its runs, are over. */
+    private void replaced() {
+        failures++;
+        board.markSilent(info.id(), true);
+        loseRuns("another incarnation answers");
+        pause(RETRY_MILLIS);
+    }
+
     private void listed(WorkerOrders.Holding answer, long askedMillis) {
         if (failures >= SILENT_AFTER) {
             EventLog.of(NodeEvent.WORKER_ANSWERS).with("worker", info.id()).write();
@@ -234,17 +243,24 @@
                     .write();
         }
         if (failures >= SILENT_AFTER && isLapsed()) {
-            if (isOccupied()) {
-                EventLog.of(NodeEvent.WORKER_LOST).with("worker", info.id()).write();
-            }
-            host.lost(info.id());
-            if (!board.isKnown(info.id())) {
-                forget();
-            }
+            loseRuns("its leases have lapsed");
         }
         pause(RETRY_MILLIS);
     }
 
+    private void loseRuns(String cause) {
+        if (isOccupied()) {
+            EventLog.of(NodeEvent.WORKER_LOST)
+                    .with("worker", info.id())
+                    .with("cause", cause)
+                    .write();
+        }
+        host.lost(info.id());
+        if (!board.isKnown(info.id())) {
+            forget();
+        }
+    }
+
     private boolean isLapsed() {
         return lease.isLapsed(clock.steadyMillis()) && host.isPredecessorOver();
     }
@@ -309,6 +325,11 @@
             return;
         }
         board.started(start, outcome(attempt, reply.answer()), clock.now());
+        if (reply.answer() == Answer.OTHER_INCARNATION) {
+            // Nothing more is started there, and it is asked until it is gone or answers.
+            failures++;
+            board.markSilent(info.id(), true);
+        }
         host.changed();
         kick();
     }
--- a/node/src/test/java/io/cardamomshelf/node/schedule/FakeWorkers.java
+++ b/node/src/test/java/io/cardamomshelf/node/schedule/FakeWorkers.java
@@ -40,6 +40,10 @@
     final Set<WorkerId> cut = new HashSet<>();
     final Set<WorkerId> losingAnswers = new HashSet<>();
     final Set<WorkerId> refusing = new HashSet<>();
+
+    /** Another worker answers at their address. */
+    final Set<WorkerId> replaced = new HashSet<>();
+
     final List<Order.Start> starts = new ArrayList<>();
     final List<String> overlaps = new ArrayList<>();
 
@@ -62,6 +66,12 @@
         return fakes.values().stream().anyMatch(fake -> fake.running.containsKey(task));
     }
 
+    /** Ends a worker with all that it runs; another one answers at its address from now on. */
+    void replace(WorkerId id) {
+        fakes.remove(id);
+        replaced.add(id);
+    }
+
     WorkerId hostOf(TaskId task) {
         return fakes.entrySet().stream()
                 .filter(entry -> entry.getValue().running.containsKey(task))
@@ -93,6 +103,9 @@
         if (token < fake.token) {
             return reply(Answer.FENCED);
         }
+        if (replaced.contains(target.id())) {
+            return reply(Answer.OTHER_INCARNATION);
+        }
         if (refusing.contains(target.id())) {
             return reply(Answer.REFUSED);
         }
@@ -117,6 +130,9 @@
                 timeoutMillis,
                 new Reply(Answer.UNKNOWN, OptionalLong.empty(), "no answer"),
                 fake -> {
+                    if (replaced.contains(target.id())) {
+                        return reply(Answer.OTHER_INCARNATION);
+                    }
                     if (token < fake.token) {
                         return reply(Answer.FENCED);
                     }
@@ -166,6 +182,10 @@
                 timeoutMillis,
                 new Holding(Answer.UNKNOWN, OptionalLong.empty(), null, false, "no answer"),
                 fake -> {
+                    if (replaced.contains(target.id())) {
+                        return new Holding(
+                                Answer.OTHER_INCARNATION, clock(), null, false, "status 421");
+                    }
                     if (token < fake.token) {
                         return new Holding(Answer.FENCED, clock(), null, false, "fenced");
                     }
--- a/node/src/test/java/io/cardamomshelf/node/schedule/SchedulingTest.java
+++ b/node/src/test/java/io/cardamomshelf/node/schedule/SchedulingTest.java
@@ -72,6 +72,19 @@
             assertEquals(List.of(), workers.overlaps);
         }
 
+        @Test
+        void startsAgainElsewhereAtOnceWhenAnotherWorkerAnswersInThePlaceOfItsWorker() {
+            setUp("w1", "w2");
+            new Process("one");
+            time.pass(4_000);
+            submit(1, false);
+            time.pass(1_000);
+            workers.replace(workers.hostOf(TASK));
+            time.pass(2_500);
+            assertEquals(2, workers.starts.size());
+            assertTrue(workers.isRunning(TASK));
+        }
+
         @Test
         void asksAWorkerThatIsGoneNoMoreUntilItRegistersAgain() {
             setUp("w1");
--- a/node/src/test/java/io/cardamomshelf/node/schedule/SuccessionTest.java
+++ b/node/src/test/java/io/cardamomshelf/node/schedule/SuccessionTest.java
@@ -241,6 +241,21 @@
             assertEquals(List.of(), workers.overlaps);
         }
 
+        @Test
+        void startAtOnceWhatRanOnAWorkerAtWhoseAddressAnotherOneAnswers() {
+            setUp("w1", "w2", "w3");
+            Process one = new Process("one");
+            time.pass(4_000);
+            submit(1, false);
+            time.pass(1_000);
+            workers.replace(workers.hostOf(TASK));
+            one.paths.cutAll("w1", "w2", "w3");
+            Process two = new Process("two");
+            awaitLeading(two);
+            time.pass(1_000);
+            assertTrue(workers.isRunning(TASK));
+        }
+
         @Test
         void waitForASilentWorkerWithWhatMayRunThere() {
             setUp("w1", "w2", "w3");
