A machine too small for the office lets larger ones be elected first

Cause: every machine stood at the same moment, so the office went to any of them.

Mend: the settings tell the share of the processor. Below 0.7 cores, what the rounds of 246 workers take at their peak, a machine stands 0.7 s after it could, counted from when it is ready, so that the first election isn't a race of all either. Sites whose machines are all larger see no change; where all are smaller an unplanned change takes 0.7 s longer.

TimersTest asks the new method, as strictly. Ruled out: making rounds cheaper alone, as a round of 2.8 ms here takes 7 ms there and holds beside the callers' ingress.

--- a/core/src/main/java/io/cardamomshelf/core/schedule/ElectionTimer.java
+++ b/core/src/main/java/io/cardamomshelf/core/schedule/ElectionTimer.java
@@ -4,11 +4,12 @@
  * Decides when a process stands for scheduler.
  *
  * <p>Use: {@code heard} at each sign of the scheduler, {@code proven} at each read that reached the
- * end of the stored records, then {@code mayStand}.
+ * end of the stored records, then {@code isDue} several times a second.
  *
  * <p>Load it answers: a scheduler that died must be replaced within seconds, but one whose signs
  * were only missed because the store was away must be let be. So silence counts only while this
- * process's own path to the store works.
+ * process's own path to the store works. A machine too small for the office leaves it to others for
+ * a while, as rounds that fill it make all jobs late.
  *
  * <p>Not thread-safe: belongs to the instance's event loop.
  */
@@ -23,6 +24,8 @@
     private static final long NEVER = Long.MIN_VALUE / 2;
 
     private final long silenceMillis;
+    private final long handicapMillis;
+    private long dueSinceMillis = NEVER;
     private long heardMillis = NEVER;
     private long provenMillis = NEVER;
     private boolean vacant;
@@ -32,9 +35,11 @@
      *
      * @param silenceMillis how long the scheduler must be silent, in milliseconds; unequal among
      *     processes, so that they don't all stand at once
+     * @param handicapMillis how long others are let first, in milliseconds, 0 or more
      */
-    public ElectionTimer(long silenceMillis) {
+    public ElectionTimer(long silenceMillis, long handicapMillis) {
         this.silenceMillis = silenceMillis;
+        this.handicapMillis = handicapMillis;
     }
 
     /**
@@ -68,9 +73,20 @@
      * Asks whether to stand now.
      *
      * @param nowMillis the steady clock, in milliseconds
-     * @return true if there is no scheduler, as far as a working path tells
+     * @param ready whether this process could schedule at all
+     * @return true if there is no scheduler, as far as a working path tells, and nobody who was let
+     *     first has taken the office
      */
-    public boolean mayStand(long nowMillis) {
+    public boolean isDue(long nowMillis, boolean ready) {
+        if (!ready || !mayStand(nowMillis)) {
+            dueSinceMillis = NEVER;
+            return false;
+        }
+        dueSinceMillis = dueSinceMillis == NEVER ? nowMillis : dueSinceMillis;
+        return nowMillis - dueSinceMillis >= handicapMillis;
+    }
+
+    private boolean mayStand(long nowMillis) {
         if (nowMillis - provenMillis > MAX_HANGING_MILLIS) {
             return false;
         }
--- a/core/src/test/java/io/cardamomshelf/core/schedule/TimersTest.java
+++ b/core/src/test/java/io/cardamomshelf/core/schedule/TimersTest.java
@@ -12,16 +12,16 @@
     @Nested
     class Election {
 
-        private final ElectionTimer timer = new ElectionTimer(2_000);
+        private final ElectionTimer timer = new ElectionTimer(2_000, 0);
 
         @Test
         void waitsForTheSilence() {
             timer.proven(1_000);
             timer.heard(1_000);
             timer.proven(2_000);
-            assertFalse(timer.mayStand(2_900));
+            assertFalse(timer.isDue(2_900, true));
             timer.proven(3_000);
-            assertTrue(timer.mayStand(3_000));
+            assertTrue(timer.isDue(3_000, true));
         }
 
         @Test
@@ -29,19 +29,19 @@
             timer.proven(1_000);
             timer.heard(1_000);
             timer.proven(2_000);
-            assertFalse(timer.mayStand(3_300));
+            assertFalse(timer.isDue(3_300, true));
         }
 
         @Test
         void countsNoSilenceWhileTheOwnPathIsDown() {
             timer.proven(1_000);
             timer.heard(1_000);
-            assertFalse(timer.mayStand(9_000));
+            assertFalse(timer.isDue(9_000, true));
             timer.proven(9_000);
-            assertFalse(timer.mayStand(9_100));
+            assertFalse(timer.isDue(9_100, true));
             timer.proven(10_500);
-            assertFalse(timer.mayStand(10_900));
-            assertTrue(timer.mayStand(11_000));
+            assertFalse(timer.isDue(10_900, true));
+            assertTrue(timer.isDue(11_000, true));
         }
 
         @Test
@@ -49,9 +49,9 @@
             timer.proven(1_000);
             timer.heard(1_000);
             timer.resigned();
-            assertTrue(timer.mayStand(1_001));
+            assertTrue(timer.isDue(1_001, true));
             timer.heard(1_100);
-            assertFalse(timer.mayStand(1_101));
+            assertFalse(timer.isDue(1_101, true));
         }
     }
 
--- a/node/src/main/java/io/cardamomshelf/node/schedule/Scheduling.java
+++ b/node/src/main/java/io/cardamomshelf/node/schedule/Scheduling.java
@@ -53,6 +53,14 @@
     /** Up to this much is added at random, so that candidates don't collide, in milliseconds. */
     private static final int JITTER_MILLIS = 300;
 
+    /** What the scheduler of 246 workers takes at its peak, in cores (docs/CAPACITY.md). */
+    private static final double SCHEDULER_CORES = 0.7;
+
+    /**
+     * How long a smaller machine lets others first: their jitter and an election, in milliseconds.
+     */
+    private static final long HANDICAP_MILLIS = 700;
+
     /** How long an append of a candidate may take, in milliseconds. */
     private static final long STAND_MILLIS = 1_500;
 
@@ -117,7 +125,10 @@
         this.metrics = metrics;
         this.position = position;
         this.random = new Random(settings.name().hashCode() * 31L + clock.now().wallMillis());
-        this.election = new ElectionTimer(SILENCE_MILLIS + random.nextInt(JITTER_MILLIS));
+        this.election =
+                new ElectionTimer(
+                        SILENCE_MILLIS + random.nextInt(JITTER_MILLIS),
+                        settings.cores() < SCHEDULER_CORES ? HANDICAP_MILLIS : 0);
         this.jobs = new JobsView(this);
         this.workers = new WorkersView(decoder, this);
         this.operators = operators;
@@ -257,7 +268,7 @@
     private void watch() {
         boolean free = reign == null && waiting == null && !standing && !stopped;
         boolean ready = operators.configuration().isPresent() && !workers.listed().isEmpty();
-        if (free && ready && election.mayStand(clock.steadyMillis())) {
+        if (election.isDue(clock.steadyMillis(), free && ready)) {
             standing = true;
             predecessorSettled = jobs.leader().map(this::isOver).orElse(true);
             long epoch = jobs.leader().map(JobRecords.Leader::epoch).orElse(0L) + 1;
--- a/node/src/main/java/io/cardamomshelf/node/settings/NodeSettings.java
+++ b/node/src/main/java/io/cardamomshelf/node/settings/NodeSettings.java
@@ -16,6 +16,7 @@
  * @param callers where callers connect, not null
  * @param readiness where the platform asks whether it is ready, not null
  * @param metrics where metrics are read, not null
+ * @param cores the processor time that the process may use, in cores, more than 0
  * @param bounds the promised times, not null
  */
 public record NodeSettings(
@@ -24,6 +25,7 @@
         Endpoint callers,
         Endpoint readiness,
         Endpoint metrics,
+        double cores,
         Bounds bounds) {
 
     /**
@@ -59,7 +61,7 @@
     /**
      * Creates settings.
      *
-     * @throws IllegalArgumentException if a part is missing
+     * @throws IllegalArgumentException if a part is missing or out of range
      */
     public NodeSettings {
         Checks.notNull("name", name);
@@ -68,5 +70,8 @@
         Checks.notNull("readiness", readiness);
         Checks.notNull("metrics", metrics);
         Checks.notNull("bounds", bounds);
+        if (!(cores > 0)) {
+            throw new IllegalArgumentException("cores: " + cores + " isn't positive");
+        }
     }
 }
--- a/node/src/test/java/io/cardamomshelf/node/schedule/SchedulingScene.java
+++ b/node/src/test/java/io/cardamomshelf/node/schedule/SchedulingScene.java
@@ -82,6 +82,10 @@
         private StreamFollower jobsFollower;
 
         Process(String name) {
+            this(name, 1);
+        }
+
+        Process(String name, double cores) {
             operators = new OperatorsView(decoder, () -> {});
             scheduling =
                     new Scheduling(
@@ -92,7 +96,7 @@
                             decoder,
                             operators,
                             time,
-                            settings(name),
+                            settings(name, cores),
                             new ServiceMetrics(),
                             () -> jobsFollower.position());
             jobsFollower = follow(Stream.JOBS, scheduling.jobs());
@@ -115,13 +119,14 @@
         }
     }
 
-    private static NodeSettings settings(String name) {
+    private static NodeSettings settings(String name, double cores) {
         return new NodeSettings(
                 name,
                 DataCentreId.of("jhb-a"),
                 NOWHERE,
                 NOWHERE,
                 NOWHERE,
+                cores,
                 new NodeSettings.Bounds(5_000, 3_000, 6_000, 10_000, 120_000));
     }
 
--- a/node/src/test/java/io/cardamomshelf/node/schedule/SuccessionTest.java
+++ b/node/src/test/java/io/cardamomshelf/node/schedule/SuccessionTest.java
@@ -50,6 +50,26 @@
             assertTrue(one.scheduling.isLeading() ^ two.scheduling.isLeading());
         }
 
+        @Test
+        void leaveTheOfficeToALargerMachine() {
+            setUp("w1");
+            Process small = new Process("small", 0.36);
+            Process other = new Process("other", 0.36);
+            Process large = new Process("large", 1.5);
+            passUntil(large.scheduling::isLeading);
+            large.scheduling.resign().subscribe().with(done -> {});
+            Process next = new Process("next", 0.75);
+            passUntil(next.scheduling::isLeading);
+            assertFalse(small.scheduling.isLeading() || other.scheduling.isLeading());
+        }
+
+        @Test
+        void areSmallMachinesIfThereIsNoOther() {
+            setUp("w1");
+            Process small = new Process("small", 0.36);
+            awaitLeading(small);
+        }
+
         @Test
         void stayInOfficeHoweverMuchThereIsToStore() {
             setUp("w1");
