--- a/core/src/main/java/io/cardamomshelf/core/schedule/Detours.java
+++ b/core/src/main/java/io/cardamomshelf/core/schedule/Detours.java
@@ -19,9 +19,6 @@
     /** How long the most urgent work waits for the wanted rack, in milliseconds. */
     private static final long URGENT_PATIENCE_MILLIS = 1_200;
 
-    /** Work that waits so often its objective has starved, and takes a detour. */
-    private static final int STARVED_FACTOR = 2;
-
     private final Forecast forecast;
     private final Moment now;
 
@@ -38,7 +35,7 @@
                     && racks.stream().anyMatch(rack -> Placer.couldTake(rack, group, count));
         }
         long latest = now.steadyMillis() + extraMillis(group);
-        return !hasStarved(group)
+        return !group.hasStarved(now)
                 && forecast.soonest(group, count, racks)
                         .filter(start -> start.freeMillis() <= latest)
                         .isPresent();
@@ -52,9 +49,4 @@
     private static long extraMillis(TaskGroup group) {
         return (FACTOR - 1) * group.spec().estimateMillis();
     }
-
-    private boolean hasStarved(TaskGroup group) {
-        long waited = now.wallMillis() - group.sinceMillis();
-        return waited > STARVED_FACTOR * group.owner().job().objectiveMillis();
-    }
 }
--- a/core/src/main/java/io/cardamomshelf/core/schedule/Reservations.java
+++ b/core/src/main/java/io/cardamomshelf/core/schedule/Reservations.java
@@ -20,9 +20,6 @@
     /** Gangs that are promised room at the same time; bounds the work of a round. */
     private static final int MOST = 12;
 
-    /** A gang that waits so often its objective has starved, and comes before its equals. */
-    private static final int STARVED_FACTOR = 2;
-
     private final RoomBook room;
     private final Forecast forecast;
     private final Moment now;
@@ -68,7 +65,7 @@
         long objective = group.owner().job().objectiveMillis();
         long inMillis = start.freeMillis() - now.steadyMillis() + group.spec().estimateMillis();
         long since = now.wallMillis() - group.sinceMillis();
-        madeBeforeEquals = since + inMillis <= objective || since > STARVED_FACTOR * objective;
+        madeBeforeEquals = since + inMillis <= objective || group.hasStarved(now);
         return madeBeforeEquals;
     }
 }
--- a/core/src/main/java/io/cardamomshelf/core/schedule/TaskGroup.java
+++ b/core/src/main/java/io/cardamomshelf/core/schedule/TaskGroup.java
@@ -20,6 +20,9 @@
     /** A gang counts its failures and keeps its saved progress as one. */
     private static final int WHOLE_GANG = 0;
 
+    /** Work that waits so often its objective has starved. */
+    private static final int STARVED_FACTOR = 2;
+
     /** How long a worker on which a task failed gets no task of its step, in milliseconds. */
     private static final long AVOID_MILLIS = 8_000;
 
@@ -71,6 +74,11 @@
                 : owner.job().acceptedMillis();
     }
 
+    /** Whether it has waited for so long that it comes before its equals and takes any room. */
+    boolean hasStarved(Moment now) {
+        return now.wallMillis() - sinceMillis() > STARVED_FACTOR * owner.job().objectiveMillis();
+    }
+
     StepId id() {
         return StepId.of(owner.job().id(), occurrence, step);
     }
