What this scheduler names doesn't put an inherited job in doubt

Found by reading the diff again: a job that was inherited with named workers, all of them accounted for, fell back into waiting for every silent worker once this scheduler named all workers for it (a later step of many single tasks, or more than 32 hosts). Only what was inherited counts now. HostNamesTest isNoneAboutWorkersThatThisSchedulerNames, red before. Also, the fallback of an announcement asks for as many places as it was given, not for as many as the group has tasks waiting.

--- a/core/src/main/java/io/cardamomshelf/core/schedule/HostNames.java
+++ b/core/src/main/java/io/cardamomshelf/core/schedule/HostNames.java
@@ -22,7 +22,7 @@
     /** How long a record may be under way before the store counts as away, in milliseconds. */
     private static final long LATE_MILLIS = 500;
 
-    private final boolean inherited;
+    private final boolean doubtsAll;
     private final Set<WorkerId> wanted = new TreeSet<>();
     private final Set<WorkerId> doubtful = new TreeSet<>();
     private boolean anywhere;
@@ -42,9 +42,9 @@
         this.known = stored.orElse(RunHosts.NONE);
         this.sent = known;
         this.anywhere = known.anywhere();
-        this.inherited = inherited && stored.isPresent();
+        this.doubtsAll = inherited && anywhere;
         wanted.addAll(known.workers());
-        if (this.inherited) {
+        if (inherited) {
             doubtful.addAll(known.workers());
         }
     }
@@ -66,7 +66,7 @@
 
     /** Whether runs may exist that no worker has told. */
     boolean isInDoubt(boolean allHaveTold) {
-        return inherited && (anywhere ? !allHaveTold : !doubtful.isEmpty());
+        return doubtsAll && !allHaveTold || isDoubtful();
     }
 
     /** Whether runs may start on these workers. */
--- a/core/src/main/java/io/cardamomshelf/core/schedule/Round.java
+++ b/core/src/main/java/io/cardamomshelf/core/schedule/Round.java
@@ -169,7 +169,7 @@
         HostNames names = group.owner().hosts();
         Optional<List<WorkerState>> known =
                 names.isLate(now.steadyMillis())
-                        ? placer.wanted(group, group.waiting().size(), named(group))
+                        ? placer.wanted(group, hosts.size(), named(group))
                         : Optional.empty();
         if (known.isEmpty()) {
             group.owner().begin();
--- a/core/src/test/java/io/cardamomshelf/core/schedule/HostNamesTest.java
+++ b/core/src/test/java/io/cardamomshelf/core/schedule/HostNamesTest.java
@@ -137,6 +137,13 @@
             assertFalse(names.isInDoubt(true));
         }
 
+        @Test
+        void isNoneAboutWorkersThatThisSchedulerNames() {
+            HostNames names = inherited(RunHosts.of(List.of(ONE)), TWO);
+            names.wantAnywhere();
+            assertFalse(names.isInDoubt(false));
+        }
+
         @Test
         void isNoneIfNothingIsStored() {
             assertFalse(new HostNames(Optional.empty(), true).isInDoubt(false));
