--- a/core/src/main/java/io/cardamomshelf/core/schedule/ElectionTimer.java
+++ b/core/src/main/java/io/cardamomshelf/core/schedule/ElectionTimer.java
@@ -8,8 +8,8 @@
  *
  * <p>Load it answers: a scheduler that died must be replaced within seconds, but one whose signs
  * were only missed because the store was away must be let be. So silence counts only while this
- * process's own path to the store works. A machine too small for the office leaves it to others for
- * a while, as rounds that fill it make all jobs late.
+ * process's own path to the store works. A machine too small to lead lets others stand first, as
+ * rounds that use up its processor make all jobs late.
  *
  * <p>Not thread-safe: belongs to the instance's event loop.
  */
@@ -74,8 +74,8 @@
      *
      * @param nowMillis the steady clock, in milliseconds
      * @param ready whether this process could schedule at all
-     * @return true if there is no scheduler, as far as a working path tells, and nobody who was let
-     *     first has taken the office
+     * @return true if there is no scheduler, as far as a working path tells, and none of those that
+     *     stand first was elected
      */
     public boolean isDue(long nowMillis, boolean ready) {
         if (!ready || !mayStand(nowMillis)) {
--- a/node/src/main/java/io/cardamomshelf/node/schedule/Scheduling.java
+++ b/node/src/main/java/io/cardamomshelf/node/schedule/Scheduling.java
@@ -336,7 +336,9 @@
         }
     }
 
-    /** An elected scheduler that hasn't begun holds the office too: others wait for its signs. */
+    /**
+     * Others wait for the signs of an elected scheduler even if it hasn't begun its first round.
+     */
     private void handOn() {
         Reign last = reign != null ? reign : waiting;
         reign = null;
--- a/node/src/test/java/io/cardamomshelf/node/schedule/SuccessionTest.java
+++ b/node/src/test/java/io/cardamomshelf/node/schedule/SuccessionTest.java
@@ -51,7 +51,7 @@
         }
 
         @Test
-        void leaveTheOfficeToALargerMachine() {
+        void leaveLeadershipToALargerMachine() {
             setUp("w1");
             Process small = new Process("small", 0.36);
             Process other = new Process("other", 0.36);
