--- a/core/src/main/java/io/cardamomshelf/core/base/DataCentreId.java
+++ b/core/src/main/java/io/cardamomshelf/core/base/DataCentreId.java
@@ -37,6 +37,18 @@
         return value.compareTo(other.value);
     }
 
+    /** Written out, as the generated method is costly to set up in a restarted process. */
+    @Override
+    public boolean equals(Object other) {
+        return other instanceof DataCentreId that && value.equals(that.value);
+    }
+
+    /** Written out for the same reason as {@link #equals}. */
+    @Override
+    public int hashCode() {
+        return value.hashCode();
+    }
+
     @Override
     public String toString() {
         return value;
--- a/core/src/main/java/io/cardamomshelf/core/base/WorkerId.java
+++ b/core/src/main/java/io/cardamomshelf/core/base/WorkerId.java
@@ -37,6 +37,18 @@
         return value.compareTo(other.value);
     }
 
+    /** Written out, as the generated method is costly to set up in a restarted process. */
+    @Override
+    public boolean equals(Object other) {
+        return other instanceof WorkerId that && value.equals(that.value);
+    }
+
+    /** Written out for the same reason as {@link #equals}. */
+    @Override
+    public int hashCode() {
+        return value.hashCode();
+    }
+
     @Override
     public String toString() {
         return value;
--- a/core/src/main/java/io/cardamomshelf/core/schedule/WorkerState.java
+++ b/core/src/main/java/io/cardamomshelf/core/schedule/WorkerState.java
@@ -24,8 +24,6 @@
     /** How long a worker gets no starts after it refused one, in milliseconds. */
     private static final long REFUSAL_PAUSE_MILLIS = 500;
 
-    private record RunKey(TaskId task, long number) {}
-
     private final Map<RunKey, Run> runs = new HashMap<>();
     private Resources used = Resources.NONE;
     private WorkerInfo info;
--- a/core/src/main/java/io/cardamomshelf/core/schedule/WorkerTable.java
+++ b/core/src/main/java/io/cardamomshelf/core/schedule/WorkerTable.java
@@ -21,8 +21,6 @@
  */
 final class WorkerTable {
 
-    private record RunKey(TaskId task, long number) {}
-
     private final LiveJobTable jobs;
     private final Map<WorkerId, WorkerState> workers = new LinkedHashMap<>();
     private final Set<WorkerId> unreported = new LinkedHashSet<>();
--- a/core/src/main/java/io/cardamomshelf/core/task/TaskId.java
+++ b/core/src/main/java/io/cardamomshelf/core/task/TaskId.java
@@ -42,6 +42,22 @@
         return new TaskId(job, occurrence, step, index);
     }
 
+    /** Written out, as the generated method is costly to set up in a restarted process. */
+    @Override
+    public boolean equals(Object other) {
+        return other instanceof TaskId that
+                && index == that.index
+                && step == that.step
+                && occurrence == that.occurrence
+                && job.equals(that.job);
+    }
+
+    /** Written out for the same reason as {@link #equals}. */
+    @Override
+    public int hashCode() {
+        return ((job.hashCode() * 31 + occurrence) * 31 + step) * 31 + index;
+    }
+
     @Override
     public String toString() {
         return job + "." + occurrence + "." + step + "." + index;
