--- a/sessions/src/main/java/io/cardamomshelf/sessions/PlatformDeployment.java
+++ b/sessions/src/main/java/io/cardamomshelf/sessions/PlatformDeployment.java
@@ -83,6 +83,36 @@
         instances.put(name, new ServiceInstance(child, callers, ready));
     }
 
+    /**
+     * Makes a training run of the service, as the build does, and waits until it has ended.
+     *
+     * @param name the name of the instance, not null
+     * @return what it wrote to standard error, never null
+     * @throws SessionException if it can't start or doesn't end with 0
+     */
+    public String rehearse(String name) throws SessionException {
+        Path settings = folder.resolve(name + ".conf");
+        Path errors = folder.resolve(name + ".err");
+        write(
+                settings,
+                settings(name, freePort(), freePort())
+                        .replace(storeAddress(), HOST + ":" + freePort()));
+        int code =
+                ChildProcess.startLogging(
+                                logFile(name),
+                                errors,
+                                "SERVICE_STARTED",
+                                PlatformMain.class,
+                                "--settings",
+                                settings.toString(),
+                                "--rehearse")
+                        .awaitEnd();
+        if (code != 0) {
+            throw new SessionException("the training run ended with " + code + ", see " + errors);
+        }
+        return read(errors);
+    }
+
     /**
      * Publishes a configuration with one queue and one organisation.
      *
@@ -209,11 +239,7 @@
      * @throws SessionException if they can't be read
      */
     public String logText(String instance) throws SessionException {
-        try {
-            return Files.readString(logFile(instance));
-        } catch (IOException e) {
-            throw new SessionException("can't read the log of " + instance + ": " + e);
-        }
+        return read(logFile(instance));
     }
 
     /**
@@ -271,6 +297,14 @@
                         "platform.address=" + storeAddress()));
     }
 
+    private static String read(Path file) throws SessionException {
+        try {
+            return Files.readString(file);
+        } catch (IOException e) {
+            throw new SessionException("can't read " + file + ": " + e);
+        }
+    }
+
     private static void write(Path file, String text) throws SessionException {
         try {
             Files.writeString(file, text);
--- a/sessions/src/test/java/io/cardamomshelf/sessions/PlatformSessionTest.java
+++ b/sessions/src/test/java/io/cardamomshelf/sessions/PlatformSessionTest.java
@@ -319,6 +319,25 @@
         }
     }
 
+    /** The archive of class data holds what a training run loads. */
+    @Nested
+    class TrainingRun {
+
+        @Test
+        void takesOverAndPreemptsLikeARestartedProcess(@TempDir Path folder)
+                throws SessionException {
+            try (PlatformDeployment deployment = PlatformDeployment.start(folder, 1)) {
+                String errors = deployment.rehearse("trained");
+                assertTrue(errors.contains("\"state\":\"completed\""), errors);
+                String log = deployment.logText("trained");
+                for (String event :
+                        List.of("TAKEOVER_COMPLETE", "RECLAIMED", "JOB_ENDED", "SERVICE_STOPPED")) {
+                    assertTrue(log.contains(event), event);
+                }
+            }
+        }
+    }
+
     @Nested
     class SettingsReload {
 
