--- a/node/src/test/java/io/cardamomshelf/node/schedule/SuccessionFuzzTest.java
+++ b/node/src/test/java/io/cardamomshelf/node/schedule/SuccessionFuzzTest.java
@@ -137,6 +137,15 @@
     @Nested
     class RandomFaults {
 
+        /** Each first call of a scheduler renews leases by the clock in the worker's entry. */
+        @ParameterizedTest
+        @ValueSource(longs = {41, 42, 43, 44, 45, 46, 47, 48, 49, 50})
+        void causeNeitherWithWorkerClocksAndAShorterMaximum(long seed) {
+            setMaxLease(6_000);
+            reportWorkerClocks();
+            causeNeitherOverlappingRunsNorUnendedJobs(seed);
+        }
+
         @ParameterizedTest
         @ValueSource(
                 longs = {
