--- a/node/src/main/java/io/cardamomshelf/node/Node.java
+++ b/node/src/main/java/io/cardamomshelf/node/Node.java
@@ -1,6 +1,5 @@
 package io.cardamomshelf.node;
 
-import io.cardamomshelf.core.schedule.ClockReading;
 import io.cardamomshelf.node.event.EventLog;
 import io.cardamomshelf.node.event.NodeEvent;
 import io.cardamomshelf.node.ingress.CallersServer;
@@ -80,9 +79,6 @@
     /** How often the clocks are compared, in milliseconds. */
     private static final long CLOCK_CHECK_INTERVAL_MILLIS = 100;
 
-    /** A difference between the progress of both clocks that counts as a jump, in milliseconds. */
-    private static final long CLOCK_JUMP_MILLIS = 500;
-
     private final Vertx vertx;
     private final Timers timers;
     private final NodeSettings settings;
@@ -96,7 +92,7 @@
     private final ReadinessServer readinessServer;
     private final ServiceMetrics metrics = new ServiceMetrics();
     private final MetricsServer metricsServer;
-    private ClockReading lastClockCheck;
+    private final ClockJumpDetector clockJumps;
 
     /**
      * Creates a node.
@@ -112,6 +108,7 @@
         this.timers = Timers.of(vertx);
         this.settings = settings;
         this.clock = clock;
+        this.clockJumps = new ClockJumpDetector(clock.now());
         this.operators = new OperatorsView(adapter.decoder(), this::operatorsViewChanged);
         this.candidate =
                 new SchedulerCandidate(
@@ -203,7 +200,6 @@
         workersFollower.start();
         jobsFollower.start();
         candidate.start();
-        lastClockCheck = clock.now();
         timers.every(CLOCK_CHECK_INTERVAL_MILLIS, this::checkClocks);
         timers.every(
                 PACE_CHECK_INTERVAL_MILLIS,
@@ -212,20 +208,14 @@
 
     /** Renews the followers' proofs after a suspension, as they are outdated by the wall clock. */
     private void checkClocks() {
-        ClockReading now = clock.now();
-        long jumpMillis = now.maxMillisSince(lastClockCheck) - millisSince(lastClockCheck, now);
-        lastClockCheck = now;
-        if (jumpMillis >= CLOCK_JUMP_MILLIS) {
+        long jumpMillis = clockJumps.jumpMillis(clock.now());
+        if (jumpMillis > 0) {
             EventLog.of(NodeEvent.CLOCKS_JUMPED).with("jumpMillis", jumpMillis).write();
             operatorsFollower.renewProof();
             jobsFollower.renewProof();
         }
     }
 
-    private static long millisSince(ClockReading earlier, ClockReading now) {
-        return now.monotonicMillis() - earlier.monotonicMillis();
-    }
-
     private void completeWhenDrained(long startMillis, Runnable done) {
         long elapsedMillis = clock.monotonicMillis() - startMillis;
         boolean isDrained = elapsedMillis >= MIN_DRAIN_MILLIS && callers.inFlight() == 0;
--- a/sessions/src/test/java/io/cardamomshelf/sessions/PlatformSessionTest.java
+++ b/sessions/src/test/java/io/cardamomshelf/sessions/PlatformSessionTest.java
@@ -9,6 +9,7 @@
 import java.io.PrintStream;
 import java.nio.file.Path;
 import java.util.List;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.approvaltests.Approvals;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
@@ -164,11 +165,14 @@
                 deployment.setStoreFault("expire");
                 deployment.process("n1").kill();
                 deployment.startInstance("n1");
-                int status = 503;
-                while (status == 503) {
-                    status = deployment.call("n1", "GET", JOB, null).status();
-                }
-                assertEquals(401, status);
+                AtomicInteger status = new AtomicInteger();
+                Wait.until(
+                        "the restarted instance has read the configuration",
+                        () -> {
+                            status.set(deployment.call("n1", "GET", JOB, null).status());
+                            return status.get() != 503;
+                        });
+                assertEquals(401, status.get());
             }
         }
 
