Keep runs that a restarted worker may have when its entry is read

Cause: a worker's answer to a start doesn't tell its incarnation. When the registry entry of a new incarnation was read, the scheduler state removed all runs of the worker, also those whose starts the new one had answered. The worker still counted as reported, so it wasn't asked for its lists, and the next round placed the tasks again, here or elsewhere, over capacity that was in use.

Ruled out: a repeat of the start (the first attempts were answered); the order of records in the store.

Change: only runs that the earlier incarnation has listed end with it. The others stay until the new one lists its runs. A new incarnation gets no starts before its entry (labels, capacity and address may differ), the roster's record and its lists are there, as for a worker that is new. The stop of an unanswered start is ordered again, as the start may still reach the new incarnation.

Why it works: a list that was requested after the answer either contains the run or proves that it is gone.

SchedulerFixture.restartWorker now registers the restarted worker too, as workers do; before, a test expected a start on a worker whose new entry had not been read.

--- a/core/src/main/java/io/cardamomshelf/core/schedule/Run.java
+++ b/core/src/main/java/io/cardamomshelf/core/schedule/Run.java
@@ -49,6 +49,9 @@
     /** Whether its start got no answer; such a run is stopped, as it may exist or not. */
     boolean startUnanswered;
 
+    /** Whether its worker has listed it. */
+    boolean listed;
+
     Run(TaskId task, long number, WorkerState worker, TaskGroup group, long nowMillis) {
         this.task = task;
         this.number = number;
@@ -61,6 +64,25 @@
         return answeredMillis != NOT_ANSWERED && answeredMillis < millis;
     }
 
+    /**
+     * Whether a new incarnation of its worker may have the run or may still receive its start. An
+     * answer to a start doesn't tell the incarnation that gave it; a list does.
+     */
+    boolean mayBeOnNewIncarnation() {
+        return !listed || startUnanswered;
+    }
+
+    /**
+     * Continues on a new incarnation of its worker. An unanswered start may reach that one too, so
+     * it has to be stopped there again.
+     */
+    void beginIncarnation() {
+        if (startUnanswered) {
+            phase = phase == Phase.STOPPED ? Phase.ORDERED : phase;
+            answeredMillis = NOT_ANSWERED;
+        }
+    }
+
     boolean isBeingStopped() {
         return phase == Phase.STOPPING || phase == Phase.STOPPED;
     }
--- a/core/src/main/java/io/cardamomshelf/core/schedule/WorkerState.java
+++ b/core/src/main/java/io/cardamomshelf/core/schedule/WorkerState.java
@@ -33,10 +33,10 @@
     private String lastFailedJob = "";
     private long pausedUntilMillis = Long.MIN_VALUE;
 
-    /** Whether the worker has reported its runs to this scheduler. */
+    /** Whether the current incarnation has reported its runs to this scheduler. */
     boolean reported;
 
-    /** Whether a later scheduler would know that the worker may have runs. */
+    /** Whether a later scheduler would know that the current incarnation may have runs. */
     boolean admitted;
 
     /** Whether calls to the worker currently get no answer. */
@@ -116,8 +116,15 @@
         return true;
     }
 
+    /**
+     * Begins a new incarnation. It gets no starts before its entry and its lists were read, as its
+     * address, labels and capacity may differ, and it may already have runs.
+     */
     void beginIncarnation(long bornMillis) {
         info = info.withBornMillis(bornMillis);
+        registered = false;
+        reported = false;
+        admitted = false;
         lastEndNumber = 0;
         consecutiveFailures = 0;
     }
--- a/core/src/main/java/io/cardamomshelf/core/schedule/WorkerTable.java
+++ b/core/src/main/java/io/cardamomshelf/core/schedule/WorkerTable.java
@@ -17,7 +17,9 @@
  * The workers and their runs, updated from the workers' lists.
  *
  * <p>A run is removed when its end is listed, when it is missing from a list that was requested
- * after the worker last answered an order for it, or when its worker's incarnation has ended.
+ * after the worker last answered an order for it, or when the incarnation that listed it has ended.
+ * An incarnation may have answered orders before its registry entry or its lists reveal it, so a
+ * run that no incarnation has listed may be on the new one.
  */
 final class WorkerTable {
 
@@ -144,6 +146,7 @@
         if (run.phase == Run.Phase.ORDERED) {
             confirmStart(run, now);
         }
+        run.listed = true;
         run.progress.addSample(running.percent(), now.monotonicMillis());
         run.group.saveCheckpoint(running.task().index(), running.checkpoint());
         return true;
@@ -205,9 +208,16 @@
     }
 
     private void updateIncarnation(WorkerState worker, long bornMillis) {
-        if (bornMillis > worker.info().bornMillis()) {
-            worker.runs().forEach(this::remove);
-            worker.beginIncarnation(bornMillis);
+        if (bornMillis <= worker.info().bornMillis()) {
+            return;
+        }
+        worker.beginIncarnation(bornMillis);
+        for (Run run : worker.runs()) {
+            if (run.mayBeOnNewIncarnation()) {
+                run.beginIncarnation();
+            } else {
+                remove(run);
+            }
         }
     }
 }
--- a/core/src/test/java/io/cardamomshelf/core/schedule/SchedulerFixture.java
+++ b/core/src/test/java/io/cardamomshelf/core/schedule/SchedulerFixture.java
@@ -192,10 +192,20 @@
         return this;
     }
 
+    /** Restarts a worker, which registers and reports that it has no runs. */
     SchedulerFixture restartWorker(String name) {
+        return restartUnnoticed(name).registerWorker(name, rackOf(name)).report(name);
+    }
+
+    /** Restarts a worker under its identifier, without an entry or a report of it. */
+    SchedulerFixture restartUnnoticed(String name) {
         incarnations.merge(worker(name), 1L, Long::sum);
         endNumbers.remove(worker(name));
-        return report(name);
+        return this;
+    }
+
+    private String rackOf(String name) {
+        return state.rackOf(worker(name));
     }
 
     SchedulerFixture submit(int number, int priority, StepBuilder... steps) {
--- a/node/src/test/java/io/cardamomshelf/node/schedule/FakeWorkers.java
+++ b/node/src/test/java/io/cardamomshelf/node/schedule/FakeWorkers.java
@@ -18,14 +18,26 @@
 import java.util.TreeMap;
 import java.util.function.Function;
 
-/** Workers with runs and leases in memory that may be disconnected, refuse or lose answers. */
+/**
+ * Workers with runs and leases in memory that may be disconnected, refuse calls, lose answers, or
+ * restart under their identifiers.
+ */
 final class FakeWorkers implements WorkerOrders {
 
     private static final long ONE_WAY_DELAY_MILLIS = 5;
     private static final long WAIT_CHECK_INTERVAL_MILLIS = 20;
 
-    /** The runs, the lease and the fencing token of one worker. */
+    /** The longest lease that a worker takes, in milliseconds. */
+    private static final long MAX_LEASE_MILLIS = 10_000;
+
+    /** The runs, the lease and the fencing token of one incarnation of a worker. */
     static final class FakeWorker {
+        /** The incarnation, which rises with each restart. */
+        final long bornMillis;
+
+        /** When its clock was at 0, on the test's monotonic clock. */
+        private final long clockStartMillis;
+
         final Map<TaskId, Long> running = new HashMap<>();
         final List<WorkerLists.Ended> ended = new ArrayList<>();
 
@@ -42,6 +54,11 @@
 
         /** The lease ends of all renewals, in the order in which they were sent. */
         final List<OptionalLong> renewedLeaseEnds = new ArrayList<>();
+
+        private FakeWorker(long bornMillis, long clockStartMillis) {
+            this.bornMillis = bornMillis;
+            this.clockStartMillis = clockStartMillis;
+        }
     }
 
     private final VirtualTime time;
@@ -61,12 +78,41 @@
     /** Each start of a task that was already running, with its time in milliseconds. */
     final List<String> overlaps = new ArrayList<>();
 
+    /** Each start of a task after an end as done was acknowledged, with its time. */
+    final List<String> repeats = new ArrayList<>();
+
+    private final Set<TaskId> acknowledgedDone = new HashSet<>();
+
     FakeWorkers(VirtualTime time) {
         this.time = time;
     }
 
     FakeWorker worker(String name) {
-        return workers.computeIfAbsent(WorkerId.of(name), id -> new FakeWorker());
+        return workers.computeIfAbsent(WorkerId.of(name), id -> new FakeWorker(1, 0));
+    }
+
+    /**
+     * Restarts a worker under its identifier. Its runs, its ends and its fencing token are lost,
+     * and its clock and its numbers of ends start again.
+     */
+    void restart(String name) {
+        long bornMillis = worker(name).bornMillis + 1;
+        workers.put(WorkerId.of(name), new FakeWorker(bornMillis, time.monotonicMillis()));
+    }
+
+    /** Returns a worker's own clock, in milliseconds. */
+    long clockMillis(WorkerId id) {
+        return clockMillis(worker(id.value()));
+    }
+
+    private long clockMillis(FakeWorker worker) {
+        return time.monotonicMillis() - worker.clockStartMillis;
+    }
+
+    private void extendLease(FakeWorker worker, long leaseEndMillis) {
+        long limitMillis = clockMillis(worker) + MAX_LEASE_MILLIS;
+        worker.leaseEndMillis =
+                Math.max(worker.leaseEndMillis, Math.min(leaseEndMillis, limitMillis));
     }
 
     void finish(String name, TaskId task, RunEnd end) {
@@ -116,27 +162,30 @@
     private Reply start(
             Target target, FakeWorker worker, Order.Start start, long leaseEndMillis, long token) {
         if (token < worker.highestToken) {
-            return reply(Answer.FENCED);
+            return reply(worker, Answer.FENCED);
         }
         if (replaced.contains(target.id())) {
-            return reply(Answer.OTHER_INCARNATION);
+            return reply(worker, Answer.OTHER_INCARNATION);
         }
         if (refusing.contains(target.id())) {
-            return reply(Answer.REFUSED);
+            return reply(worker, Answer.REFUSED);
         }
         worker.highestToken = token;
         if (start.run() <= worker.highestRuns.getOrDefault(start.task(), 0L)) {
             boolean alreadyRunning =
                     Long.valueOf(start.run()).equals(worker.running.get(start.task()));
-            return reply(alreadyRunning ? Answer.DONE : Answer.REFUSED);
+            return reply(worker, alreadyRunning ? Answer.DONE : Answer.REFUSED);
         }
         if (isRunning(start.task())) {
             overlaps.add(start.task() + " at " + time.monotonicMillis());
         }
-        worker.leaseEndMillis = Math.max(worker.leaseEndMillis, leaseEndMillis);
+        if (acknowledgedDone.contains(start.task())) {
+            repeats.add(start.task() + " at " + time.monotonicMillis());
+        }
+        extendLease(worker, leaseEndMillis);
         worker.highestRuns.put(start.task(), start.run());
         worker.running.put(start.task(), start.run());
-        return reply(Answer.DONE);
+        return reply(worker, Answer.DONE);
     }
 
     @Override
@@ -147,17 +196,17 @@
                 new Reply(Answer.UNKNOWN, OptionalLong.empty(), "no answer"),
                 worker -> {
                     if (replaced.contains(target.id())) {
-                        return reply(Answer.OTHER_INCARNATION);
+                        return reply(worker, Answer.OTHER_INCARNATION);
                     }
                     if (token < worker.highestToken) {
-                        return reply(Answer.FENCED);
+                        return reply(worker, Answer.FENCED);
                     }
                     worker.highestToken = token;
                     worker.highestRuns.merge(stop.task(), stop.run(), Math::max);
                     if (worker.running.containsKey(stop.task())) {
                         finish(target.id().value(), stop.task(), RunEnd.STOPPED);
                     }
-                    return reply(Answer.DONE);
+                    return reply(worker, Answer.DONE);
                 });
     }
 
@@ -199,14 +248,21 @@
         return new RenewalReply(Answer.UNKNOWN, OptionalLong.empty(), null, false, "no answer");
     }
 
-    /** Answers at the next end of a run, or after the wait. */
+    /** Answers at the next end of a run, or after the wait; not at all if the worker restarts. */
     private Uni<RenewalReply> waitForEnd(Target target, RenewalReply first, long untilMillis) {
         FakeWorker worker = worker(target.id().value());
+        if (worker.bornMillis != first.lists().bornMillis()) {
+            return Uni.createFrom().item(noAnswer());
+        }
         if (!worker.ended.isEmpty() || time.monotonicMillis() >= untilMillis) {
             return Uni.createFrom()
                     .item(
                             new RenewalReply(
-                                    Answer.DONE, clock(), lists(worker), true, first.detail()));
+                                    Answer.DONE,
+                                    clock(worker),
+                                    lists(worker),
+                                    true,
+                                    first.detail()));
         }
         return Uni.createFrom()
                 .<Void>emitter(
@@ -229,29 +285,36 @@
                 worker -> {
                     if (replaced.contains(target.id())) {
                         return new RenewalReply(
-                                Answer.OTHER_INCARNATION, clock(), null, false, "status 421");
+                                Answer.OTHER_INCARNATION, clock(worker), null, false, "status 421");
                     }
                     if (token < worker.highestToken) {
-                        return new RenewalReply(Answer.FENCED, clock(), null, false, "fenced");
+                        return new RenewalReply(
+                                Answer.FENCED, clock(worker), null, false, "fenced");
                     }
                     worker.highestToken = token;
-                    worker.leaseEndMillis =
-                            Math.max(worker.leaseEndMillis, leaseEndMillis.orElse(Long.MIN_VALUE));
-                    worker.ended.removeIf(end -> end.number() <= lastAcknowledgedEnd);
-                    return new RenewalReply(Answer.DONE, clock(), lists(worker), true, "");
+                    leaseEndMillis.ifPresent(end -> extendLease(worker, end));
+                    acknowledgeEnds(worker, lastAcknowledgedEnd);
+                    return new RenewalReply(Answer.DONE, clock(worker), lists(worker), true, "");
                 });
     }
 
+    private void acknowledgeEnds(FakeWorker worker, long lastAcknowledgedEnd) {
+        worker.ended.stream()
+                .filter(end -> end.number() <= lastAcknowledgedEnd && end.end() == RunEnd.DONE)
+                .forEach(end -> acknowledgedDone.add(end.task()));
+        worker.ended.removeIf(end -> end.number() <= lastAcknowledgedEnd);
+    }
+
     private static WorkerLists lists(FakeWorker worker) {
         List<WorkerLists.Running> running = new ArrayList<>();
         worker.running.forEach(
                 (task, run) -> running.add(new WorkerLists.Running(task, run, "", 0)));
-        return new WorkerLists(1, running, worker.ended);
+        return new WorkerLists(worker.bornMillis, running, worker.ended);
     }
 
     private void endRunsWithLapsedLease() {
         for (Map.Entry<WorkerId, FakeWorker> entry : workers.entrySet()) {
-            if (entry.getValue().leaseEndMillis < time.monotonicMillis()) {
+            if (entry.getValue().leaseEndMillis < clockMillis(entry.getValue())) {
                 List.copyOf(entry.getValue().running.keySet())
                         .forEach(task -> finish(entry.getKey().value(), task, RunEnd.LAPSED));
             }
@@ -288,11 +351,11 @@
                                         }));
     }
 
-    private Reply reply(Answer answer) {
-        return new Reply(answer, clock(), answer.name());
+    private Reply reply(FakeWorker worker, Answer answer) {
+        return new Reply(answer, clock(worker), answer.name());
     }
 
-    private OptionalLong clock() {
-        return OptionalLong.of(time.monotonicMillis());
+    private OptionalLong clock(FakeWorker worker) {
+        return OptionalLong.of(clockMillis(worker));
     }
 }
--- a/node/src/test/java/io/cardamomshelf/node/schedule/SchedulingFixture.java
+++ b/node/src/test/java/io/cardamomshelf/node/schedule/SchedulingFixture.java
@@ -30,7 +30,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
-import java.util.function.LongSupplier;
+import java.util.function.ToLongFunction;
 
 /** Schedulers with a shared store and workers in memory, in virtual time. */
 abstract class SchedulingFixture {
@@ -47,8 +47,8 @@
     private long maxLeaseMillis = 10_000;
 
     /**
-     * Decodes the test's records: a worker's key is its name, and each record of the operators
-     * gives the same configuration.
+     * Decodes the test's records: a worker's key is its name, its value its incarnation, and each
+     * record of the operators gives the same configuration.
      */
     static final class Decoder implements RecordDecoder {
 
@@ -61,14 +61,14 @@
         }
 
         /** The clock that each worker reports in its entry, in milliseconds; 0 for none. */
-        private LongSupplier workerClockMillis = () -> 0;
+        private ToLongFunction<WorkerId> workerClockMillis = id -> 0;
 
         @Override
         public Optional<WorkerInfo> worker(StoredRecord record) {
             return Optional.of(
                     new WorkerInfo(
                             WorkerId.of(record.key()),
-                            1,
+                            Long.parseLong(new String(record.value(), StandardCharsets.UTF_8)),
                             "rota",
                             UNUSED_ENDPOINT,
                             DataCentreId.of("jhb-a"),
@@ -77,7 +77,7 @@
                             Resources.of(128_000, 512_000, 8),
                             false,
                             0,
-                            workerClockMillis.getAsLong()));
+                            workerClockMillis.applyAsLong(WorkerId.of(record.key()))));
         }
     }
 
@@ -134,7 +134,7 @@
 
     /** Makes the entries of workers contain their clocks, as of when an entry is read. */
     void reportWorkerClocks() {
-        decoder.workerClockMillis = time::monotonicMillis;
+        decoder.workerClockMillis = workers::clockMillis;
     }
 
     private NodeSettings settings(String name, double cores) {
@@ -156,8 +156,17 @@
         }
     }
 
+    /** Stores the registry entry of a worker's current incarnation. */
+    void register(String name) {
+        store.write(Stream.WORKERS, record(name, workers.worker(name).bornMillis));
+    }
+
     static StoredRecord record(String key) {
-        return StoredRecord.of(key, "x".getBytes(StandardCharsets.UTF_8));
+        return record(key, 1);
+    }
+
+    private static StoredRecord record(String key, long bornMillis) {
+        return StoredRecord.of(key, Long.toString(bornMillis).getBytes(StandardCharsets.UTF_8));
     }
 
     void submit(int count, boolean gang) {
