Grant leases only on the clock of a worker's current incarnation

Cause: a restart reset the lease clock, but a start didn't ask whether the new clock was known. So the lease of the lost worker never lapsed.

Ruled out: the margin for late calls to the new incarnation (it ends 10.5 s after the restart is noticed).

Change: `LeaseClock.grantLease` refuses without an observation; a start that finds none isn't sent. The worker's clock only goes forward, so an answer that is behind an observation from before its call shows a restart: the clock is reset and the worker asked for its lists. A late answer doesn't set the clock back. The link keeps the incarnation that lists show. WORKER_RESTARTED (6008) tells what showed a restart, which the logs didn't before.

--- a/core/src/main/java/io/cardamomshelf/core/schedule/LeaseClock.java
+++ b/core/src/main/java/io/cardamomshelf/core/schedule/LeaseClock.java
@@ -3,8 +3,9 @@
 /**
  * Tracks a worker's clock, and computes when all leases that it was granted have lapsed.
  *
- * <p>Use: {@code observe} at each answer, {@code grantLease} for each grant once there is an
- * observation, {@code haveLeasesLapsed} once the worker is unresponsive.
+ * <p>Use: {@code observe} at each answer, {@code grantLease} for each grant while {@code
+ * hasObservation}, {@code haveLeasesLapsed} once the worker is unresponsive, {@code reset} once it
+ * has restarted.
  *
  * <p>Limits: the worker's clock may be slow by a fiftieth, so a lease counts as lapsed a little
  * later than its granted length. Not thread-safe: used only on the instance's event loop.
@@ -46,20 +47,36 @@
     }
 
     /**
-     * Records the worker's clock from an answer.
+     * Returns whether an answer shows that the worker has restarted. Its clock only goes forward,
+     * so it can't be behind an observation that was made before the call was sent.
+     *
+     * @param clockMillis the worker's clock in the answer, in milliseconds
+     * @param sentMillis when the call was sent, on the monotonic clock, in milliseconds
+     * @return true if the clock was reset
+     */
+    public boolean showsRestart(long clockMillis, long sentMillis) {
+        return known && sentMillis >= observedMillis && clockMillis < observedWorkerMillis;
+    }
+
+    /**
+     * Records the worker's clock from an answer, unless a later reading is known already.
      *
      * @param clockMillis the worker's clock, in milliseconds
      * @param nowMillis the monotonic clock, in milliseconds
      */
     public void observe(long clockMillis, long nowMillis) {
+        if (known && clockMillis < observedWorkerMillis) {
+            return;
+        }
         known = true;
         observedWorkerMillis = clockMillis;
         observedMillis = nowMillis;
     }
 
     /**
-     * Resets the clock for a new incarnation, which has its own clock. A call that was sent to the
-     * old incarnation may reach the new one, which then takes a lease of unknown length from it.
+     * Resets the clock for a new incarnation, which has its own clock. No lease can be granted
+     * before that is observed. A call that was sent to the old incarnation may reach the new one,
+     * which then takes a lease of unknown length from it.
      *
      * @param unknownUntilMillis when such a lease has lapsed, on the monotonic clock
      */
@@ -70,9 +87,9 @@
     }
 
     /**
-     * Returns whether the worker's clock is known.
+     * Returns whether the clock of the worker's current incarnation is known.
      *
-     * @return true after the first answer
+     * @return true after its first answer
      */
     public boolean hasObservation() {
         return known;
@@ -84,8 +101,12 @@
      * @param nowMillis the monotonic clock, in milliseconds
      * @param leaseMillis its length, in milliseconds
      * @return its end on the worker's clock, in milliseconds
+     * @throws IllegalStateException if the worker's clock isn't known
      */
     public long grantLease(long nowMillis, long leaseMillis) {
+        if (!known) {
+            throw new IllegalStateException("the worker's clock isn't known");
+        }
         long endMillis = observedWorkerMillis + (nowMillis - observedMillis) + leaseMillis;
         latestLeaseEndMillis = Math.max(latestLeaseEndMillis, endMillis);
         return endMillis;
--- a/core/src/main/java/io/cardamomshelf/core/schedule/SchedulerState.java
+++ b/core/src/main/java/io/cardamomshelf/core/schedule/SchedulerState.java
@@ -43,6 +43,7 @@
 
     private final LiveJobTable jobs = new LiveJobTable();
     private final WorkerTable workers = new WorkerTable(jobs);
+    private final WorkerReports workerReports = new WorkerReports(workers);
     private Map<OrganisationId, Integer> guarantees = Map.of();
     private Set<DataCentreId> closedDataCentres = Set.of();
     private final DrainPolicy drainPolicy = new DrainPolicy();
@@ -260,6 +261,15 @@
         return orders;
     }
 
+    /**
+     * Returns what is known and needed of the workers' reports.
+     *
+     * @return the reports, never null
+     */
+    public WorkerReports workerReports() {
+        return workerReports;
+    }
+
     /**
      * Returns the requests for placement advice.
      *
@@ -349,16 +359,6 @@
         return workers.find(id).map(worker -> worker.info().rack()).orElse("");
     }
 
-    /**
-     * Returns the number of the last end that was received from a worker.
-     *
-     * @param id the worker, not null
-     * @return the number, 0 if there is none
-     */
-    public long lastEndNumber(WorkerId id) {
-        return workers.find(id).map(WorkerState::lastEndNumber).orElse(0L);
-    }
-
     /**
      * Returns the inherited workers that haven't reported their runs yet.
      *
--- /dev/null
+++ b/core/src/main/java/io/cardamomshelf/core/schedule/WorkerReports.java
@@ -0,0 +1,40 @@
+package io.cardamomshelf.core.schedule;
+
+import io.cardamomshelf.core.base.WorkerId;
+
+/**
+ * What the scheduler state knows and needs of the workers' reports of their runs.
+ *
+ * <p>Use: after {@link SchedulerState#updateRuns}, {@code lastEndNumber} tells which ends of runs
+ * are to be acknowledged once the resulting progress is stored.
+ *
+ * <p>Not thread-safe: used only on the instance's event loop.
+ */
+public final class WorkerReports {
+
+    private final WorkerTable workers;
+
+    WorkerReports(WorkerTable workers) {
+        this.workers = workers;
+    }
+
+    /**
+     * Requires a new report of a worker's runs, as it seems to have restarted. It gets no starts
+     * before.
+     *
+     * @param id the worker, not null
+     */
+    public void require(WorkerId id) {
+        workers.find(id).ifPresent(worker -> worker.reported = false);
+    }
+
+    /**
+     * Returns the number of the last end that was received from a worker's current incarnation.
+     *
+     * @param id the worker, not null
+     * @return the number, 0 if there is none
+     */
+    public long lastEndNumber(WorkerId id) {
+        return workers.find(id).map(WorkerState::lastEndNumber).orElse(0L);
+    }
+}
--- a/core/src/test/java/io/cardamomshelf/core/schedule/TimersTest.java
+++ b/core/src/test/java/io/cardamomshelf/core/schedule/TimersTest.java
@@ -1,6 +1,8 @@
 package io.cardamomshelf.core.schedule;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import org.junit.jupiter.api.Nested;
@@ -100,5 +102,42 @@
             assertFalse(clock.haveLeasesLapsed(11_499));
             assertTrue(clock.haveLeasesLapsed(11_500));
         }
+
+        /** Guards against a lease that ends on the clock of an earlier incarnation. */
+        @Test
+        void areNotGrantedBeforeTheClockOfANewIncarnationIsObserved() {
+            LeaseClock clock = new LeaseClock(0);
+            clock.observe(700_000, 1_000);
+            clock.reset(0);
+            assertFalse(clock.hasObservation());
+            assertThrows(IllegalStateException.class, () -> clock.grantLease(1_100, 5_000));
+        }
+    }
+
+    @Nested
+    class WorkerClocks {
+
+        @Test
+        void showARestartWhenTheyGoBack() {
+            LeaseClock clock = new LeaseClock(0);
+            clock.observe(700_000, 1_000);
+            assertTrue(clock.showsRestart(20, 1_000));
+            assertFalse(clock.showsRestart(700_000, 1_000));
+        }
+
+        @Test
+        void showNoRestartInAnAnswerToAnEarlierCall() {
+            LeaseClock clock = new LeaseClock(0);
+            clock.observe(700_000, 1_000);
+            assertFalse(clock.showsRestart(699_990, 999));
+        }
+
+        @Test
+        void areNotSetBackByAnAnswerThatWasOvertaken() {
+            LeaseClock clock = new LeaseClock(0);
+            clock.observe(700_000, 1_000);
+            clock.observe(698_000, 1_500);
+            assertEquals(705_500, clock.grantLease(1_500, 5_000));
+        }
     }
 }
--- a/node/src/main/java/io/cardamomshelf/node/event/NodeEvent.java
+++ b/node/src/main/java/io/cardamomshelf/node/event/NodeEvent.java
@@ -109,7 +109,10 @@
     /** The accelerators' usage while work is waiting. */
     FLEET_LOAD(
             6007,
-            "The number of free, held and busy accelerators, once a second while work is waiting.");
+            "The number of free, held and busy accelerators, once a second while work is waiting."),
+    /** A worker has restarted under its identifier. */
+    WORKER_RESTARTED(
+            6008, "A worker has restarted under its identifier; the line gives what shows it.");
 
     private final int number;
     private final String description;
--- a/node/src/main/java/io/cardamomshelf/node/schedule/OrderSender.java
+++ b/node/src/main/java/io/cardamomshelf/node/schedule/OrderSender.java
@@ -9,6 +9,7 @@
 import io.cardamomshelf.node.event.NodeEvent;
 import io.cardamomshelf.node.port.WorkerOrders;
 import io.cardamomshelf.node.port.WorkerOrders.Answer;
+import java.util.OptionalLong;
 
 /**
  * Sends starts and stops of runs to one worker, repeats those that got no answer, and reports the
@@ -35,8 +36,8 @@
         /** Returns whether the worker has runs, or may have some that aren't known. */
         boolean mayHaveRuns();
 
-        /** Records the worker's clock from an answer. */
-        void observeClock(long workerClockMillis);
+        /** Records the worker's clock, if an answer has it, and when that call was sent. */
+        void observeClock(OptionalLong workerClockMillis, long sentMillis);
 
         /** Ends the term, as the worker has refused its fencing token. */
         void fenced();
@@ -94,26 +95,33 @@
         if (worker.isClosed()) {
             return;
         }
+        long sentMillis = clock.monotonicMillis();
         orders.stop(worker.target(), stop, token, TIMEOUT_MILLIS)
                 .subscribe()
-                .with(reply -> stopAnswered(stop, reply));
+                .with(reply -> stopAnswered(stop, sentMillis, reply));
     }
 
     private void start(Order.Start start, int attempt) {
         if (worker.isClosed()) {
             return;
         }
-        long leaseEndMillis = leaseClock.grantLease(clock.monotonicMillis(), leaseMillis);
+        if (!leaseClock.hasObservation()) {
+            state.handleStartOutcome(start, outcome(attempt, Answer.REFUSED), clock.now());
+            return;
+        }
+        long sentMillis = clock.monotonicMillis();
+        long leaseEndMillis = leaseClock.grantLease(sentMillis, leaseMillis);
         orders.start(worker.target(), start, leaseEndMillis, token, TIMEOUT_MILLIS)
                 .subscribe()
-                .with(reply -> startAnswered(start, attempt, reply));
+                .with(reply -> startAnswered(start, attempt, sentMillis, reply));
     }
 
-    private void startAnswered(Order.Start start, int attempt, WorkerOrders.Reply reply) {
+    private void startAnswered(
+            Order.Start start, int attempt, long sentMillis, WorkerOrders.Reply reply) {
         if (worker.isClosed()) {
             return;
         }
-        reply.clockMillis().ifPresent(worker::observeClock);
+        worker.observeClock(reply.clockMillis(), sentMillis);
         boolean retry = reply.answer() == Answer.UNKNOWN || reply.answer() == Answer.TOO_LATE;
         if (reply.answer() == Answer.FENCED) {
             worker.fenced();
@@ -156,11 +164,11 @@
                 .write();
     }
 
-    private void stopAnswered(Order.Stop stop, WorkerOrders.Reply reply) {
+    private void stopAnswered(Order.Stop stop, long sentMillis, WorkerOrders.Reply reply) {
         if (worker.isClosed()) {
             return;
         }
-        reply.clockMillis().ifPresent(worker::observeClock);
+        worker.observeClock(reply.clockMillis(), sentMillis);
         switch (reply.answer()) {
             case FENCED -> worker.fenced();
             case UNKNOWN -> {
--- a/node/src/main/java/io/cardamomshelf/node/schedule/SchedulerTerm.java
+++ b/node/src/main/java/io/cardamomshelf/node/schedule/SchedulerTerm.java
@@ -361,7 +361,7 @@
         Map<JobId, JobProgress> progress = state.takeChangedProgress();
         Map<WorkerId, Long> newEndNumbers = new HashMap<>();
         for (WorkerId id : links.keySet()) {
-            long lastEndNumber = state.lastEndNumber(id);
+            long lastEndNumber = state.workerReports().lastEndNumber(id);
             if (lastEndNumber != appendedEndNumbers.getOrDefault(id, 0L)) {
                 appendedEndNumbers.put(id, lastEndNumber);
                 newEndNumbers.put(id, lastEndNumber);
--- a/node/src/main/java/io/cardamomshelf/node/schedule/WorkerLink.java
+++ b/node/src/main/java/io/cardamomshelf/node/schedule/WorkerLink.java
@@ -15,6 +15,7 @@
 import io.cardamomshelf.node.metric.ServiceMetrics;
 import io.cardamomshelf.node.metric.ServiceMetrics.Name;
 import io.cardamomshelf.node.port.WorkerOrders;
+import io.cardamomshelf.node.port.WorkerOrders.Answer;
 import java.util.OptionalLong;
 
 /**
@@ -121,7 +122,7 @@
         if (info.clockMillis() > 0) {
             // The entry may be some seconds old. Leases that are computed from it end too early,
             // never too late, and runs with little of their lease left needn't wait for the lists.
-            observeClock(info.clockMillis());
+            leaseClock.observe(info.clockMillis(), clock.monotonicMillis());
         }
     }
 
@@ -131,7 +132,7 @@
 
     void updateInfo(WorkerInfo newInfo) {
         if (isOlderThan(newInfo)) {
-            beginIncarnation();
+            beginIncarnation(newInfo.bornMillis(), "its entry");
         }
         info = newInfo;
     }
@@ -192,7 +193,7 @@
 
     private boolean needsRenewal() {
         return state.needsPolling(info.id())
-                || storedEndNumber < state.lastEndNumber(info.id())
+                || storedEndNumber < state.workerReports().lastEndNumber(info.id())
                 || acknowledgedEndNumber < storedEndNumber
                 || consecutiveFailures > 0
                 || leaderLease.needsWorkerAnswers(clock.now());
@@ -237,7 +238,10 @@
         if (closed) {
             return;
         }
-        reply.clockMillis().ifPresent(this::observeClock);
+        if (reply.answer() == Answer.DONE && reply.lists().bornMillis() > info.bornMillis()) {
+            beginIncarnation(reply.lists().bornMillis(), "its lists");
+        }
+        observeClock(reply.clockMillis(), sentAt.monotonicMillis());
         switch (reply.answer()) {
             case DONE -> {
                 answered = true;
@@ -275,13 +279,10 @@
         }
         consecutiveFailures = 0;
         WorkerLists lists = reply.lists();
-        if (lists.bornMillis() > info.bornMillis()) {
-            beginIncarnation();
-        }
         logEnds(lists);
         state.updateRuns(info.id(), lists, sentMillis, reply.isComplete(), clock.now());
         callbacks.stateChanged();
-        if (storedEndNumber < state.lastEndNumber(info.id())) {
+        if (storedEndNumber < state.workerReports().lastEndNumber(info.id())) {
             pause(UNSTORED_ENDS_PAUSE_MILLIS);
         } else if (leaderLease.needsWorkerAnswers(clock.now())
                 && !(callbacks.mayGrant() && mayHaveRuns())) {
@@ -293,7 +294,7 @@
 
     private void logEnds(WorkerLists lists) {
         for (WorkerLists.Ended ended : lists.ended()) {
-            if (ended.number() > state.lastEndNumber(info.id())) {
+            if (ended.number() > state.workerReports().lastEndNumber(info.id())) {
                 metrics.count(Name.RUN_ENDS, ended.end());
                 EventLog.of(NodeEvent.RUN_ENDED)
                         .with("task", ended.task())
@@ -367,14 +368,36 @@
     }
 
     /** A new incarnation has its own clock, has no leases, and numbers its ends of runs afresh. */
-    private void beginIncarnation() {
-        leaseClock.reset(clock.monotonicMillis() + LeaseClock.worstCaseMillis(maxLeaseMillis));
+    private void beginIncarnation(long bornMillis, String shownBy) {
+        EventLog.of(NodeEvent.WORKER_RESTARTED)
+                .with("worker", info.id())
+                .with("bornMillis", bornMillis)
+                .with("shownBy", shownBy)
+                .write();
+        info = info.withBornMillis(bornMillis);
+        resetLeaseClock();
         storedEndNumber = 0;
         acknowledgedEndNumber = 0;
     }
 
+    private void resetLeaseClock() {
+        leaseClock.reset(clock.monotonicMillis() + LeaseClock.worstCaseMillis(maxLeaseMillis));
+    }
+
+    /** Records the clock in an answer. If it shows a restart, the worker is asked for its lists. */
     @Override
-    public void observeClock(long workerClockMillis) {
-        leaseClock.observe(workerClockMillis, clock.monotonicMillis());
+    public void observeClock(OptionalLong workerClockMillis, long sentMillis) {
+        if (workerClockMillis.isEmpty()) {
+            return;
+        }
+        if (leaseClock.showsRestart(workerClockMillis.getAsLong(), sentMillis)) {
+            EventLog.of(NodeEvent.WORKER_RESTARTED)
+                    .with("worker", info.id())
+                    .with("shownBy", "its clock")
+                    .write();
+            resetLeaseClock();
+            state.workerReports().require(info.id());
+        }
+        leaseClock.observe(workerClockMillis.getAsLong(), clock.monotonicMillis());
     }
 }
--- a/node/src/test/java/io/cardamomshelf/node/schedule/WorkerRestartTest.java
+++ b/node/src/test/java/io/cardamomshelf/node/schedule/WorkerRestartTest.java
@@ -3,6 +3,9 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import io.cardamomshelf.core.base.WorkerId;
+import io.cardamomshelf.node.port.KeyedStore.Stream;
+import io.cardamomshelf.node.port.StoredRecord;
 import java.util.List;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
@@ -38,4 +41,61 @@
             assertTrue(workers.isRunning(TASK));
         }
     }
+
+    @Nested
+    class Leases {
+
+        private void loseWorker() {
+            register("w2");
+            workers.disconnected.add(WorkerId.of("w1"));
+            store.write(Stream.WORKERS, StoredRecord.tombstone("w1"));
+        }
+
+        private void assertRestartedElsewhere() {
+            assertEquals(2, workers.starts.size());
+            assertEquals(WorkerId.of("w2"), workers.starts.get(1).worker());
+            assertEquals(List.of(), workers.overlaps);
+        }
+
+        /** Guards against a lease that lasts for as long as the earlier incarnation was up. */
+        @Test
+        void lapseInTimeWhenTheRestartedWorkerIsLost() {
+            lead();
+            workers.restart("w1");
+            register("w1");
+            time.advance(2_000);
+            submit(1, false);
+            time.advance(2_000);
+            assertTrue(workers.isRunning(TASK));
+            loseWorker();
+            time.advance(12_000);
+            assertRestartedElsewhere();
+        }
+
+        /** Guards against the same if only the clock in the answer to a start shows the restart. */
+        @Test
+        void lapseInTimeWhenAWorkerIsLostBeforeItsRestartIsKnown() {
+            lead();
+            workers.restart("w1");
+            submit(1, false);
+            while (workers.starts.isEmpty()) {
+                time.advance(1);
+            }
+            time.advance(11);
+            loseWorker();
+            time.advance(15_000);
+            assertRestartedElsewhere();
+        }
+
+        /** Guards against runs that lapse as each list of a restarted worker resets its clock. */
+        @Test
+        void areRenewedThoughTheEntryOfTheNewIncarnationIsMissing() {
+            lead();
+            workers.restart("w1");
+            submit(1, false);
+            time.advance(30_000);
+            assertTrue(workers.isRunning(TASK));
+            assertEquals(1, workers.starts.size());
+        }
+    }
 }
