Repeat a start only while its run is wanted, and only to the same incarnation

Cause: a start without an answer was repeated after 0.7 s whatever had become of its run. Behind a cut the worker had restarted; its new entry ended the runs, their tasks were started elsewhere, and the new incarnation took the repeats.

What was left, and failed: a repeat to a new incarnation that had reported, which may be of another kind than the one that was chosen, and a repeat after the job was cancelled.

Ruled out: X-Expected-Instance, as the identifier is the same; the reply's clock, as there is no reply.

Change: the state is told of each unanswered attempt and says whether the run is still wanted; the sender compares the incarnation. A run whose start got no answer at some attempt is stopped on a new incarnation even if the earlier one had listed it, before its task starts again, as that attempt may arrive there.

Why it works: once the new incarnation has answered the stop, it refuses starts of this run and of lower ones.

--- a/core/src/main/java/io/cardamomshelf/core/schedule/Run.java
+++ b/core/src/main/java/io/cardamomshelf/core/schedule/Run.java
@@ -52,6 +52,9 @@
     /** Whether its worker has listed it. */
     boolean listed;
 
+    /** Whether an attempt at its start got no answer, so that the worker may receive it late. */
+    private boolean receivableLate;
+
     Run(TaskId task, long number, WorkerState worker, TaskGroup group, long nowMillis) {
         this.task = task;
         this.number = number;
@@ -69,7 +72,18 @@
      * answer to a start doesn't tell the incarnation that gave it; a list does.
      */
     boolean mayBeOnNewIncarnation() {
-        return !listed || startUnanswered;
+        return !listed || receivableLate;
+    }
+
+    /** Records that an attempt at its start got no answer, and that another one is possible. */
+    void markReceivableLate() {
+        receivableLate = true;
+    }
+
+    /** Records that its start got no answer. */
+    void markStartUnanswered() {
+        receivableLate = true;
+        startUnanswered = true;
     }
 
     /**
@@ -77,7 +91,8 @@
      * it has to be stopped there again.
      */
     void beginIncarnation() {
-        if (startUnanswered) {
+        if (receivableLate) {
+            startUnanswered = true;
             phase = phase == Phase.STOPPED ? Phase.ORDERED : phase;
             answeredMillis = NOT_ANSWERED;
         }
--- a/core/src/main/java/io/cardamomshelf/core/schedule/SchedulerState.java
+++ b/core/src/main/java/io/cardamomshelf/core/schedule/SchedulerState.java
@@ -71,15 +71,6 @@
         jobs.endInheritance(workers.unreported());
     }
 
-    /**
-     * Returns whether the runs of all inherited workers are known.
-     *
-     * @return true once each of them has reported or was lost
-     */
-    public boolean haveAllWorkersReported() {
-        return workers.unreported().isEmpty();
-    }
-
     /**
      * Applies the configuration.
      *
@@ -201,6 +192,18 @@
         workers.find(id).ifPresent(w -> workers.updateRuns(w, lists, sentMillis, complete, now));
     }
 
+    /**
+     * Records that the worker may still receive a start that it hasn't answered.
+     *
+     * @param start the order, not null
+     * @return whether to repeat it: not if the run isn't known any more, or is being stopped
+     */
+    public boolean handleUnansweredStart(Order.Start start) {
+        Optional<Run> run = workers.find(start);
+        run.ifPresent(Run::markReceivableLate);
+        return run.isPresent() && !run.get().isBeingStopped();
+    }
+
     /**
      * Handles the outcome of a start.
      *
@@ -220,7 +223,7 @@
                 workers.remove(run);
                 run.worker.recordRefusal(now.monotonicMillis());
             }
-            default -> run.startUnanswered = true;
+            default -> run.markStartUnanswered();
         }
     }
 
@@ -359,15 +362,6 @@
         return workers.find(id).map(worker -> worker.info().rack()).orElse("");
     }
 
-    /**
-     * Returns the inherited workers that haven't reported their runs yet.
-     *
-     * @return their identifiers, never null
-     */
-    public Set<WorkerId> unreportedWorkers() {
-        return Set.copyOf(workers.unreported());
-    }
-
     /**
      * Counts the runs that are ordered, running or being stopped, on all workers.
      *
@@ -411,13 +405,13 @@
 
     /** False shortly after a takeover, as workers that haven't reported yet may be idle. */
     boolean mayPreempt(ClockReading now) {
-        return haveAllWorkersReported()
+        return workerReports.areComplete()
                 || now.monotonicMillis() - firstDecisionMillis >= TAKEOVER_GRACE_MILLIS;
     }
 
     /** Whether the job may have runs that this scheduler doesn't know of yet. */
     boolean mayHaveUnreportedRuns(LiveJob job) {
-        return job.hostIntents().mayHaveUnreportedRuns(haveAllWorkersReported());
+        return job.hostIntents().mayHaveUnreportedRuns(workerReports.areComplete());
     }
 
     Order.Start start(
--- a/core/src/main/java/io/cardamomshelf/core/schedule/WorkerReports.java
+++ b/core/src/main/java/io/cardamomshelf/core/schedule/WorkerReports.java
@@ -1,6 +1,7 @@
 package io.cardamomshelf.core.schedule;
 
 import io.cardamomshelf.core.base.WorkerId;
+import java.util.Set;
 
 /**
  * What the scheduler state knows and needs of the workers' reports of their runs.
@@ -18,6 +19,24 @@
         this.workers = workers;
     }
 
+    /**
+     * Returns whether the runs of all inherited workers are known.
+     *
+     * @return true once each of them has reported or was lost
+     */
+    public boolean areComplete() {
+        return workers.unreported().isEmpty();
+    }
+
+    /**
+     * Returns the inherited workers that haven't reported their runs yet.
+     *
+     * @return their identifiers, never null
+     */
+    public Set<WorkerId> missing() {
+        return Set.copyOf(workers.unreported());
+    }
+
     /**
      * Requires a new report of a worker's runs, as it seems to have restarted. It gets no starts
      * before.
--- a/core/src/test/java/io/cardamomshelf/core/schedule/RestartedWorkerTest.java
+++ b/core/src/test/java/io/cardamomshelf/core/schedule/RestartedWorkerTest.java
@@ -82,6 +82,19 @@
             assertEquals(1, fixture.decideStarts().size());
         }
 
+        /** Guards against the first attempt at a start that reaches the new incarnation. */
+        @Test
+        void isSentTheStopOfAListedRunWhoseStartWasRepeated() {
+            Order.Start start = startOnOnlyWorker();
+            assertTrue(fixture.state.handleUnansweredStart(start));
+            fixture.confirmStart(start);
+            fixture.report("w1", running(start.task(), start.run()));
+            assertEquals(List.of(), fixture.decide());
+            fixture.restartWorker("w1");
+            assertEquals(start.run(), fixture.decideStops().get(0).run());
+            assertEquals(List.of(), fixture.decideStarts());
+        }
+
         /** Guards against an unanswered start that reaches the new incarnation. */
         @Test
         void isSentTheStopOfAnUnansweredStartAgain() {
--- a/node/src/main/java/io/cardamomshelf/node/schedule/OrderSender.java
+++ b/node/src/main/java/io/cardamomshelf/node/schedule/OrderSender.java
@@ -27,6 +27,9 @@
         /** Returns where to send orders. */
         WorkerOrders.Target target();
 
+        /** Returns its current incarnation, in milliseconds since 1970. */
+        long bornMillis();
+
         /** Returns whether the scheduler's term has ended, so that nothing may be sent. */
         boolean isClosed();
 
@@ -88,7 +91,7 @@
     }
 
     void start(Order.Start start) {
-        start(start, 1);
+        start(start, 1, worker.bornMillis());
     }
 
     void stop(Order.Stop stop) {
@@ -101,7 +104,7 @@
                 .with(reply -> stopAnswered(stop, sentMillis, reply));
     }
 
-    private void start(Order.Start start, int attempt) {
+    private void start(Order.Start start, int attempt, long bornMillis) {
         if (worker.isClosed()) {
             return;
         }
@@ -113,16 +116,19 @@
         long leaseEndMillis = leaseClock.grantLease(sentMillis, leaseMillis);
         orders.start(worker.target(), start, leaseEndMillis, token, TIMEOUT_MILLIS)
                 .subscribe()
-                .with(reply -> startAnswered(start, attempt, sentMillis, reply));
+                .with(reply -> startAnswered(start, attempt, bornMillis, sentMillis, reply));
     }
 
     private void startAnswered(
-            Order.Start start, int attempt, long sentMillis, WorkerOrders.Reply reply) {
+            Order.Start start,
+            int attempt,
+            long bornMillis,
+            long sentMillis,
+            WorkerOrders.Reply reply) {
         if (worker.isClosed()) {
             return;
         }
         worker.observeClock(reply.clockMillis(), sentMillis);
-        boolean retry = reply.answer() == Answer.UNKNOWN || reply.answer() == Answer.TOO_LATE;
         if (reply.answer() == Answer.FENCED) {
             worker.fenced();
             return;
@@ -130,8 +136,8 @@
         if (reply.answer() != Answer.DONE) {
             logStartFailure(start, attempt, reply);
         }
-        if (retry && attempt < MAX_START_ATTEMPTS && worker.mayGrant()) {
-            start(start, attempt + 1);
+        if (mayRepeat(start, attempt, bornMillis, reply.answer())) {
+            start(start, attempt + 1, bornMillis);
             return;
         }
         state.handleStartOutcome(start, outcome(attempt, reply.answer()), clock.now());
@@ -142,6 +148,21 @@
         worker.renewIfNeeded();
     }
 
+    /**
+     * Returns whether to repeat a start. It isn't repeated to a new incarnation, which may be of
+     * another kind, nor once its run was given up.
+     */
+    private boolean mayRepeat(Order.Start start, int attempt, long bornMillis, Answer answer) {
+        return switch (answer) {
+            case UNKNOWN, TOO_LATE ->
+                    state.handleUnansweredStart(start)
+                            && bornMillis == worker.bornMillis()
+                            && attempt < MAX_START_ATTEMPTS
+                            && worker.mayGrant();
+            default -> false;
+        };
+    }
+
     /** A refusal is final only if no earlier attempt may still be carried out. */
     private static SchedulerState.StartOutcome outcome(int attempt, Answer answer) {
         if (answer == Answer.DONE) {
--- a/node/src/main/java/io/cardamomshelf/node/schedule/RoundReporter.java
+++ b/node/src/main/java/io/cardamomshelf/node/schedule/RoundReporter.java
@@ -93,7 +93,7 @@
                         .with("job", wait.getKey())
                         .with("reason", wait.getValue())
                         .with("waitedMillis", millisSinceAccepted(wait.getKey()))
-                        .with("unseenWorkers", state.unreportedWorkers().size())
+                        .with("unseenWorkers", state.workerReports().missing().size())
                         .write();
             }
         }
--- a/node/src/main/java/io/cardamomshelf/node/schedule/SchedulerTerm.java
+++ b/node/src/main/java/io/cardamomshelf/node/schedule/SchedulerTerm.java
@@ -299,7 +299,7 @@
         adviceFetcher.fetchMissing();
         roundReporter.reportRound();
         storeChanges();
-        if (takingOver && state.haveAllWorkersReported()) {
+        if (takingOver && state.workerReports().areComplete()) {
             takingOver = false;
             EventLog.of(NodeEvent.TAKEOVER_COMPLETE)
                     .with("epoch", epoch())
--- a/node/src/main/java/io/cardamomshelf/node/schedule/WorkerLink.java
+++ b/node/src/main/java/io/cardamomshelf/node/schedule/WorkerLink.java
@@ -164,6 +164,11 @@
         orderSender.stop(stop);
     }
 
+    @Override
+    public long bornMillis() {
+        return info.bornMillis();
+    }
+
     @Override
     public boolean isClosed() {
         return closed;
--- a/node/src/test/java/io/cardamomshelf/node/schedule/FakeWorkers.java
+++ b/node/src/test/java/io/cardamomshelf/node/schedule/FakeWorkers.java
@@ -70,6 +70,9 @@
     /** How much later than others a worker answers renewals, in milliseconds. */
     final Map<WorkerId, Long> renewalDelayMillis = new HashMap<>();
 
+    /** How much later a worker carries out each call, in milliseconds; it answers none of these. */
+    final Map<WorkerId, Long> lateMillis = new HashMap<>();
+
     /** Workers at whose address another incarnation answers. */
     final Set<WorkerId> replaced = new HashSet<>();
 
@@ -336,6 +339,15 @@
                                                         () -> emitter.complete(noAnswer));
                                                 return;
                                             }
+                                            if (lateMillis.containsKey(target.id())) {
+                                                time.after(
+                                                        lateMillis.get(target.id()),
+                                                        () -> carryOutLate(target, action));
+                                                time.after(
+                                                        timeoutMillis,
+                                                        () -> emitter.complete(noAnswer));
+                                                return;
+                                            }
                                             T answer = action.apply(worker(target.id().value()));
                                             boolean answerLost =
                                                     losingAnswers.contains(target.id());
@@ -351,6 +363,11 @@
                                         }));
     }
 
+    private <T> void carryOutLate(Target target, Function<FakeWorker, T> action) {
+        endRunsWithLapsedLease();
+        action.apply(worker(target.id().value()));
+    }
+
     private Reply reply(FakeWorker worker, Answer answer) {
         return new Reply(answer, clock(worker), answer.name());
     }
--- a/node/src/test/java/io/cardamomshelf/node/schedule/WorkerRestartTest.java
+++ b/node/src/test/java/io/cardamomshelf/node/schedule/WorkerRestartTest.java
@@ -1,11 +1,13 @@
 package io.cardamomshelf.node.schedule;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.cardamomshelf.core.base.WorkerId;
 import io.cardamomshelf.node.port.KeyedStore.Stream;
 import io.cardamomshelf.node.port.StoredRecord;
+import io.cardamomshelf.node.store.JobRecords;
 import java.util.List;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
@@ -42,6 +44,87 @@
         }
     }
 
+    @Nested
+    class UnansweredStarts {
+
+        private final WorkerId worker = WorkerId.of("w1");
+
+        /** Sends a start that gets no answer, and restarts the worker before its repeat is due. */
+        private void restartDuringStart() {
+            lead();
+            workers.disconnected.add(worker);
+            submit(1, false);
+            time.advance(300);
+            assertEquals(1, workers.starts.size());
+            workers.restart("w1");
+            register("w2");
+            register("w1");
+            time.advance(200);
+            workers.disconnected.clear();
+        }
+
+        private void assertRunsOnce() {
+            time.advance(5_000);
+            assertEquals(List.of(), workers.overlaps);
+            assertEquals(
+                    1, workers.running().values().stream().mapToInt(tasks -> tasks.size()).sum());
+        }
+
+        /** Guards against the repeat of a start after its task was started elsewhere. */
+        @Test
+        void areNotRepeatedOnceTheirTaskWasStartedElsewhere() {
+            restartDuringStart();
+            assertRunsOnce();
+        }
+
+        /** Guards against a start on a worker of another kind than the one that was chosen. */
+        @Test
+        void areNotRepeatedToANewIncarnationThatHasReported() {
+            lead();
+            workers.disconnected.add(worker);
+            submit(1, false);
+            time.advance(300);
+            workers.restart("w1");
+            workers.disconnected.clear();
+            register("w2");
+            register("w1");
+            assertRunsOnce();
+            long run = workers.starts.get(0).run();
+            assertEquals(1, workers.starts.stream().filter(start -> start.run() == run).count());
+        }
+
+        /** Guards against a start that the new incarnation carries out late. */
+        @Test
+        void thatTheNewIncarnationCarriesOutLateDoNotRunBesideAnotherOne() {
+            lead();
+            workers.lateMillis.put(worker, 1_500L);
+            submit(1, false);
+            time.advance(300);
+            workers.restart("w1");
+            workers.lateMillis.clear();
+            register("w2");
+            register("w1");
+            store.write(Stream.WORKERS, StoredRecord.tombstone("w1"));
+            assertRunsOnce();
+            assertEquals(WorkerId.of("w2"), workers.hostOf(TASK));
+        }
+
+        /** Guards against the repeat of a start after its job was cancelled. */
+        @Test
+        void areNotRepeatedOnceTheirJobIsCancelled() {
+            lead();
+            workers.disconnected.add(worker);
+            submit(1, false);
+            time.advance(300);
+            store.write(Stream.JOBS, JobRecords.cancelled(JOB));
+            time.advance(100);
+            workers.disconnected.clear();
+            time.advance(5_000);
+            assertEquals(1, workers.starts.size());
+            assertFalse(workers.isRunning(TASK));
+        }
+    }
+
     @Nested
     class Leases {
 
