Repeat a stop that a worker refused

Cause: every answer to a stop but a lost one and a higher token counted as carried out. An unhealthy worker that answers 503 has done nothing; the run stayed marked as stopped, and for such a run no stop is ordered again.

Evidence: SchedulingTest "repeatsAStopThatAnUnhealthyWorkerRefused", red before.

Ruled out: the health of the worker in renewals (the run was listed, so it was known to go on); OrphanedRuns, which repeats stops, but only of runs that no job needs.

The first failure of a stop is logged (STOP_FAILED, 5107); refused stops left no line before.

--- a/node/src/main/java/io/cardamomshelf/node/event/NodeEvent.java
+++ b/node/src/main/java/io/cardamomshelf/node/event/NodeEvent.java
@@ -91,6 +91,10 @@
             "A job's progress is stored; the line gives how many workers may have runs of it."),
     /** A job ended. */
     JOB_ENDED(5106, "A job has ended; the line gives its lateness and the orders given for it."),
+    /** The first attempt to stop a run failed. */
+    STOP_FAILED(
+            5107,
+            "A stop was refused or got no answer, and is repeated; the line gives the answer."),
     /** A worker or a new incarnation of it was registered. */
     WORKER_SEEN(6001, "A worker's entry was read for the first time, or after a restart."),
     /** A worker was removed from the registry. */
--- a/node/src/main/java/io/cardamomshelf/node/port/WorkerOrders.java
+++ b/node/src/main/java/io/cardamomshelf/node/port/WorkerOrders.java
@@ -29,7 +29,7 @@
     enum Answer {
         /** The order was carried out. */
         DONE,
-        /** The order was refused and will never be carried out. */
+        /** The order was refused and will never be carried out; the worker did nothing. */
         REFUSED,
         /** The order was refused, as the end of the lease has passed on the worker's clock. */
         TOO_LATE,
--- a/node/src/main/java/io/cardamomshelf/node/schedule/OrderSender.java
+++ b/node/src/main/java/io/cardamomshelf/node/schedule/OrderSender.java
@@ -12,8 +12,10 @@
 import java.util.OptionalLong;
 
 /**
- * Sends starts and stops of runs to one worker, repeats those that got no answer, and reports the
- * outcomes to the scheduler state.
+ * Sends starts and stops of runs to one worker, and reports the outcomes to the scheduler state.
+ *
+ * <p>A start that got no answer is repeated once. A stop is repeated until the worker has carried
+ * it out, also if it was refused, as an unhealthy worker refuses calls without doing anything.
  *
  * <p>Use: {@link WorkerLink} has one sender, and implements {@link Worker} for it.
  *
@@ -95,13 +97,17 @@
     }
 
     void stop(Order.Stop stop) {
+        stop(stop, 1);
+    }
+
+    private void stop(Order.Stop stop, int attempt) {
         if (worker.isClosed()) {
             return;
         }
         long sentMillis = clock.monotonicMillis();
         orders.stop(worker.target(), stop, token, TIMEOUT_MILLIS)
                 .subscribe()
-                .with(reply -> stopAnswered(stop, sentMillis, reply));
+                .with(reply -> stopAnswered(stop, attempt, sentMillis, reply));
     }
 
     private void start(Order.Start start, int attempt, long bornMillis) {
@@ -185,22 +191,36 @@
                 .write();
     }
 
-    private void stopAnswered(Order.Stop stop, long sentMillis, WorkerOrders.Reply reply) {
+    private void stopAnswered(
+            Order.Stop stop, int attempt, long sentMillis, WorkerOrders.Reply reply) {
         if (worker.isClosed()) {
             return;
         }
         worker.observeClock(reply.clockMillis(), sentMillis);
         switch (reply.answer()) {
             case FENCED -> worker.fenced();
-            case UNKNOWN -> {
-                if (worker.mayHaveRuns()) {
-                    timers.after(RETRY_PAUSE_MILLIS, () -> stop(stop));
-                }
-            }
-            default -> {
+            case DONE, OTHER_INCARNATION -> {
                 state.confirmStopOrder(stop, clock.now());
                 worker.renewIfNeeded();
             }
+            case REFUSED, TOO_LATE, UNKNOWN -> stopFailed(stop, attempt, reply);
+            default -> throw new IllegalStateException("answer: " + reply.answer());
+        }
+    }
+
+    /** Repeats a stop that wasn't carried out, for as long as the worker may have runs. */
+    private void stopFailed(Order.Stop stop, int attempt, WorkerOrders.Reply reply) {
+        if (attempt == 1) {
+            EventLog.of(NodeEvent.STOP_FAILED)
+                    .with("task", stop.task())
+                    .with("run", stop.run())
+                    .with("worker", stop.worker())
+                    .with("answer", reply.answer())
+                    .with("detail", reply.detail())
+                    .write();
+        }
+        if (worker.mayHaveRuns()) {
+            timers.after(RETRY_PAUSE_MILLIS, () -> stop(stop, attempt + 1));
         }
     }
 }
--- a/node/src/test/java/io/cardamomshelf/node/schedule/FakeWorkers.java
+++ b/node/src/test/java/io/cardamomshelf/node/schedule/FakeWorkers.java
@@ -65,6 +65,8 @@
     private final Map<WorkerId, FakeWorker> workers = new HashMap<>();
     final Set<WorkerId> disconnected = new HashSet<>();
     final Set<WorkerId> losingAnswers = new HashSet<>();
+
+    /** Workers that refuse all calls and do nothing. */
     final Set<WorkerId> refusing = new HashSet<>();
 
     /** How much later than others a worker answers renewals, in milliseconds. */
@@ -77,6 +79,7 @@
     final Set<WorkerId> replaced = new HashSet<>();
 
     final List<Order.Start> starts = new ArrayList<>();
+    final List<Order.Stop> stops = new ArrayList<>();
 
     /** Each start of a task that was already running, with its time in milliseconds. */
     final List<String> overlaps = new ArrayList<>();
@@ -193,11 +196,15 @@
 
     @Override
     public Uni<Reply> stop(Target target, Order.Stop stop, long token, long timeoutMillis) {
+        stops.add(stop);
         return call(
                 target,
                 timeoutMillis,
                 new Reply(Answer.UNKNOWN, OptionalLong.empty(), "no answer"),
                 worker -> {
+                    if (refusing.contains(target.id())) {
+                        return reply(worker, Answer.REFUSED);
+                    }
                     if (replaced.contains(target.id())) {
                         return reply(worker, Answer.OTHER_INCARNATION);
                     }
@@ -286,6 +293,10 @@
                 timeoutMillis,
                 noAnswer(),
                 worker -> {
+                    if (refusing.contains(target.id())) {
+                        return new RenewalReply(
+                                Answer.REFUSED, clock(worker), null, false, "status 503");
+                    }
                     if (replaced.contains(target.id())) {
                         return new RenewalReply(
                                 Answer.OTHER_INCARNATION, clock(worker), null, false, "status 421");
--- a/node/src/test/java/io/cardamomshelf/node/schedule/SchedulingTest.java
+++ b/node/src/test/java/io/cardamomshelf/node/schedule/SchedulingTest.java
@@ -1,6 +1,7 @@
 package io.cardamomshelf.node.schedule;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.cardamomshelf.core.base.WorkerId;
@@ -9,6 +10,7 @@
 import io.cardamomshelf.node.FakeStore.Fault;
 import io.cardamomshelf.node.port.KeyedStore.Stream;
 import io.cardamomshelf.node.port.StoredRecord;
+import io.cardamomshelf.node.store.JobRecords;
 import java.util.List;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
@@ -155,6 +157,36 @@
             assertEquals(List.of(), workers.worker("w1").ended);
         }
 
+        private void cancelOnRefusingWorker(long refusingMillis) {
+            storeConfigurationAndWorkers("w1");
+            new Process("one");
+            time.advance(4_000);
+            submit(1, false);
+            time.advance(1_000);
+            workers.refusing.add(WorkerId.of("w1"));
+            store.write(Stream.JOBS, JobRecords.cancelled(JOB));
+            time.advance(refusingMillis);
+            workers.refusing.clear();
+        }
+
+        /** Guards against a refused stop that is taken for carried out. */
+        @Test
+        void repeatsAStopThatAnUnhealthyWorkerRefused() {
+            cancelOnRefusingWorker(1_500);
+            assertTrue(workers.isRunning(TASK));
+            time.advance(1_000);
+            assertFalse(workers.isRunning(TASK));
+            int stops = workers.stops.size();
+            time.advance(5_000);
+            assertEquals(stops, workers.stops.size());
+        }
+
+        @Test
+        void repeatsARefusedStopAtIntervals() {
+            cancelOnRefusingWorker(2_000);
+            assertTrue(workers.stops.size() < 10, "stops: " + workers.stops.size());
+        }
+
         @Test
         void stopsARunWhoseStartAnswersAreLostAndRestartsTheTask() {
             storeConfigurationAndWorkers("w1");
