Send a stop again if its worker restarted before the answer

The earlier incarnation may have answered the stop of a run whose start got no answer; the run then counted as stopped, and its task was started elsewhere, though the start could still reach the new incarnation.

Evidence: WorkerRestartTest$Stops, an overlap before. Ruled out: the reset of stopped runs at a restart, as here the restart was known before the answer arrived.

--- a/node/src/main/java/io/cardamomshelf/node/schedule/OrderSender.java
+++ b/node/src/main/java/io/cardamomshelf/node/schedule/OrderSender.java
@@ -105,9 +105,10 @@
             return;
         }
         long sentMillis = clock.monotonicMillis();
+        long bornMillis = worker.bornMillis();
         orders.stop(worker.target(), stop, token, TIMEOUT_MILLIS)
                 .subscribe()
-                .with(reply -> stopAnswered(stop, attempt, sentMillis, reply));
+                .with(reply -> stopAnswered(stop, attempt, bornMillis, sentMillis, reply));
     }
 
     private void start(Order.Start start, int attempt, long bornMillis) {
@@ -192,7 +193,11 @@
     }
 
     private void stopAnswered(
-            Order.Stop stop, int attempt, long sentMillis, WorkerOrders.Reply reply) {
+            Order.Stop stop,
+            int attempt,
+            long bornMillis,
+            long sentMillis,
+            WorkerOrders.Reply reply) {
         if (worker.isClosed()) {
             return;
         }
@@ -200,6 +205,11 @@
         switch (reply.answer()) {
             case FENCED -> worker.fenced();
             case DONE, OTHER_INCARNATION -> {
+                if (bornMillis != worker.bornMillis()) {
+                    // The earlier incarnation may have answered.
+                    stop(stop, attempt + 1);
+                    return;
+                }
                 state.confirmStopOrder(stop, clock.now());
                 worker.renewIfNeeded();
             }
--- a/node/src/test/java/io/cardamomshelf/node/schedule/FakeWorkers.java
+++ b/node/src/test/java/io/cardamomshelf/node/schedule/FakeWorkers.java
@@ -72,6 +72,9 @@
     /** How much later than others a worker answers renewals, in milliseconds. */
     final Map<WorkerId, Long> renewalDelayMillis = new HashMap<>();
 
+    /** How much longer a worker's answers are in transit, in milliseconds. */
+    final Map<WorkerId, Long> answerDelayMillis = new HashMap<>();
+
     /** How much later a worker carries out each call, in milliseconds; it answers none of these. */
     final Map<WorkerId, Long> lateMillis = new HashMap<>();
 
@@ -360,12 +363,15 @@
                                                 return;
                                             }
                                             T answer = action.apply(worker(target.id().value()));
+                                            long delayMillis =
+                                                    ONE_WAY_DELAY_MILLIS
+                                                            + answerDelayMillis.getOrDefault(
+                                                                    target.id(), 0L);
                                             boolean answerLost =
-                                                    losingAnswers.contains(target.id());
+                                                    losingAnswers.contains(target.id())
+                                                            || delayMillis > timeoutMillis;
                                             time.after(
-                                                    answerLost
-                                                            ? timeoutMillis
-                                                            : ONE_WAY_DELAY_MILLIS,
+                                                    answerLost ? timeoutMillis : delayMillis,
                                                     () ->
                                                             emitter.complete(
                                                                     answerLost
--- a/node/src/test/java/io/cardamomshelf/node/schedule/WorkerRestartTest.java
+++ b/node/src/test/java/io/cardamomshelf/node/schedule/WorkerRestartTest.java
@@ -125,6 +125,33 @@
         }
     }
 
+    @Nested
+    class Stops {
+
+        /** Guards against a stop that the earlier incarnation has answered. */
+        @Test
+        void areSentAgainIfTheWorkerRestartsBeforeTheAnswer() {
+            lead();
+            workers.lateMillis.put(WorkerId.of("w1"), 2_500L);
+            submit(1, false);
+            time.advance(1_450);
+            workers.lateMillis.clear();
+            while (workers.stops.isEmpty()) {
+                time.advance(1);
+            }
+            workers.answerDelayMillis.put(WorkerId.of("w1"), 400L);
+            time.advance(6);
+            workers.restart("w1");
+            workers.answerDelayMillis.clear();
+            register("w2");
+            register("w1");
+            store.write(Stream.WORKERS, StoredRecord.tombstone("w1"));
+            time.advance(5_000);
+            assertEquals(List.of(), workers.overlaps);
+            assertEquals(WorkerId.of("w2"), workers.hostOf(TASK));
+        }
+    }
+
     @Nested
     class Leases {
 
