Acknowledge ends of runs only to the incarnation that listed them

Cause: the numbers of ends were kept by worker. When an append that waited for the store was done, the ends of the earlier incarnation were acknowledged to the new one, which forgot ends that it had never listed. Three more paths did the same or left ends unacknowledged for good: every renewal repeated the last number, also to a worker that had restarted while it was idle; an end with the number that the earlier incarnation had last counted as stored already; an acknowledgement in flight during the restart counted for the new incarnation.

Change: WorkerReports.takeNewEnds gives the incarnation with the numbers, EndAcknowledgements keeps both together. A number is sent only while it is due and only after a call that returned the lists, so not first after a silence.

Limit: a worker that restarts, takes a start, ends it and gets an acknowledgement, all between two calls, can't be told.

--- a/core/src/main/java/io/cardamomshelf/core/schedule/WorkerReports.java
+++ b/core/src/main/java/io/cardamomshelf/core/schedule/WorkerReports.java
@@ -1,18 +1,28 @@
 package io.cardamomshelf.core.schedule;
 
 import io.cardamomshelf.core.base.WorkerId;
+import java.util.List;
 import java.util.Set;
 
 /**
  * What the scheduler state knows and needs of the workers' reports of their runs.
  *
- * <p>Use: after {@link SchedulerState#updateRuns}, {@code lastEndNumber} tells which ends of runs
- * are to be acknowledged once the resulting progress is stored.
+ * <p>Use: after {@link SchedulerState#updateRuns}, {@code takeNewEnds} returns the ends of runs
+ * that are to be acknowledged once the resulting progress is stored.
  *
  * <p>Not thread-safe: used only on the instance's event loop.
  */
 public final class WorkerReports {
 
+    /**
+     * The ends of runs that were received from one incarnation of a worker.
+     *
+     * @param worker the worker, not null
+     * @param bornMillis the incarnation, in milliseconds since 1970
+     * @param lastNumber the number of the last end
+     */
+    public record ReceivedEnds(WorkerId worker, long bornMillis, long lastNumber) {}
+
     private final WorkerTable workers;
 
     WorkerReports(WorkerTable workers) {
@@ -47,6 +57,23 @@
         workers.find(id).ifPresent(worker -> worker.reported = false);
     }
 
+    /**
+     * Returns the ends of runs that were received since the last call.
+     *
+     * @return the ends by worker, never null; only workers with new ones
+     */
+    public List<ReceivedEnds> takeNewEnds() {
+        return workers.all().stream()
+                .filter(WorkerState::takeNewEnds)
+                .map(
+                        worker ->
+                                new ReceivedEnds(
+                                        worker.id(),
+                                        worker.info().bornMillis(),
+                                        worker.lastEndNumber()))
+                .toList();
+    }
+
     /**
      * Returns the number of the last end that was received from a worker's current incarnation.
      *
--- a/core/src/main/java/io/cardamomshelf/core/schedule/WorkerState.java
+++ b/core/src/main/java/io/cardamomshelf/core/schedule/WorkerState.java
@@ -29,6 +29,7 @@
     private WorkerInfo info;
     private boolean registered = true;
     private long lastEndNumber;
+    private long takenEndNumber;
     private int consecutiveFailures;
     private String lastFailedJob = "";
     private long pausedUntilMillis = Long.MIN_VALUE;
@@ -116,6 +117,13 @@
         return true;
     }
 
+    /** Returns whether there are ends since the last call, which count as taken from now on. */
+    boolean takeNewEnds() {
+        boolean hasNewEnds = takenEndNumber < lastEndNumber;
+        takenEndNumber = lastEndNumber;
+        return hasNewEnds;
+    }
+
     /**
      * Begins a new incarnation. It gets no starts before its entry and its lists were read, as its
      * address, labels and capacity may differ, and it may already have runs.
@@ -126,6 +134,7 @@
         reported = false;
         admitted = false;
         lastEndNumber = 0;
+        takenEndNumber = 0;
         consecutiveFailures = 0;
     }
 
--- a/node/src/main/java/io/cardamomshelf/node/schedule/SchedulerTerm.java
+++ b/node/src/main/java/io/cardamomshelf/node/schedule/SchedulerTerm.java
@@ -9,6 +9,7 @@
 import io.cardamomshelf.core.schedule.Order;
 import io.cardamomshelf.core.schedule.SchedulerState;
 import io.cardamomshelf.core.schedule.WorkerInfo;
+import io.cardamomshelf.core.schedule.WorkerReports;
 import io.cardamomshelf.core.task.JobProgress;
 import io.cardamomshelf.core.task.QueuePolicy;
 import io.cardamomshelf.node.event.EventLog;
@@ -60,9 +61,6 @@
     private final RosterWriter rosterWriter;
     private final Map<WorkerId, WorkerLink> links = new LinkedHashMap<>();
 
-    /** The number of each worker's last end of a run whose progress was passed to the appender. */
-    private final Map<WorkerId, Long> appendedEndNumbers = new HashMap<>();
-
     /** When this scheduler first found each job ended, in milliseconds on the monotonic clock. */
     private final Map<JobId, Long> endSeenMillis = new HashMap<>();
 
@@ -359,15 +357,8 @@
     /** Stores changed progress, and only then acknowledges the ends of runs that led to it. */
     private void storeChanges() {
         Map<JobId, JobProgress> progress = state.takeChangedProgress();
-        Map<WorkerId, Long> newEndNumbers = new HashMap<>();
-        for (WorkerId id : links.keySet()) {
-            long lastEndNumber = state.workerReports().lastEndNumber(id);
-            if (lastEndNumber != appendedEndNumbers.getOrDefault(id, 0L)) {
-                appendedEndNumbers.put(id, lastEndNumber);
-                newEndNumbers.put(id, lastEndNumber);
-            }
-        }
-        if (progress.isEmpty() && newEndNumbers.isEmpty()) {
+        List<WorkerReports.ReceivedEnds> newEnds = state.workerReports().takeNewEnds();
+        if (progress.isEmpty() && newEnds.isEmpty()) {
             return;
         }
         List<StoredRecord> records = new ArrayList<>();
@@ -377,8 +368,7 @@
                 () -> {
                     progress.forEach(this::confirmProgressStored);
                     stateChanged();
-                    newEndNumbers.forEach(
-                            (id, lastEndNumber) -> links.get(id).confirmEndsStored(lastEndNumber));
+                    newEnds.forEach(ends -> links.get(ends.worker()).confirmEndsStored(ends));
                 });
     }
 
--- a/node/src/main/java/io/cardamomshelf/node/schedule/WorkerLink.java
+++ b/node/src/main/java/io/cardamomshelf/node/schedule/WorkerLink.java
@@ -8,6 +8,7 @@
 import io.cardamomshelf.core.schedule.SchedulerState;
 import io.cardamomshelf.core.schedule.WorkerInfo;
 import io.cardamomshelf.core.schedule.WorkerLists;
+import io.cardamomshelf.core.schedule.WorkerReports;
 import io.cardamomshelf.node.Clock;
 import io.cardamomshelf.node.Timers;
 import io.cardamomshelf.node.event.EventLog;
@@ -91,8 +92,7 @@
     private final OrderSender orderSender;
     private final LeaderLease leaderLease;
     private WorkerInfo info;
-    private long storedEndNumber;
-    private long acknowledgedEndNumber;
+    private final EndAcknowledgements acknowledgements;
     private long answerTimeoutMillis = ANSWER_TIMEOUT_MILLIS;
     private int consecutiveFailures;
     private boolean answered;
@@ -116,6 +116,7 @@
         this.state = state;
         this.callbacks = callbacks;
         this.info = info;
+        this.acknowledgements = new EndAcknowledgements(info.bornMillis());
         this.leaseClock = new LeaseClock(inheritedUntilMillis);
         this.orderSender = new OrderSender(context, state, leaseClock, this);
         this.leaderLease = context.leaderLease();
@@ -141,9 +142,9 @@
         closed = true;
     }
 
-    /** Acknowledges all ends up to this number with the next renewal, as they are stored now. */
-    void confirmEndsStored(long lastEndNumber) {
-        storedEndNumber = Math.max(storedEndNumber, lastEndNumber);
+    /** Acknowledges the received ends with the next renewal, as they are stored now. */
+    void confirmEndsStored(WorkerReports.ReceivedEnds ends) {
+        acknowledgements.confirmStored(ends.bornMillis(), ends.lastNumber());
         paused = false;
         renewIfNeeded();
     }
@@ -198,8 +199,8 @@
 
     private boolean needsRenewal() {
         return state.needsPolling(info.id())
-                || storedEndNumber < state.workerReports().lastEndNumber(info.id())
-                || acknowledgedEndNumber < storedEndNumber
+                || acknowledgements.hasUnstored(lastEndNumber())
+                || acknowledgements.isDue()
                 || consecutiveFailures > 0
                 || leaderLease.needsWorkerAnswers(clock.now());
     }
@@ -222,23 +223,28 @@
                         : OptionalLong.empty();
         boolean waitsForEnd = answered && leaseEndMillis.isPresent() && mayHaveRuns();
         long waitMillis = waitsForEnd ? MAX_WAIT_MILLIS : 0;
-        long sentEndNumber = storedEndNumber;
+        long acknowledgedNumber = acknowledgements.nextNumber();
+        long bornMillis = info.bornMillis();
         orders.renewLease(
                         target(),
                         leaseEndMillis,
-                        sentEndNumber,
+                        acknowledgedNumber,
                         waitMillis,
                         token,
                         waitMillis + answerTimeoutMillis)
                 .subscribe()
-                .with(reply -> renewalAnswered(reply, now, waitMillis, sentEndNumber));
+                .with(
+                        reply ->
+                                renewalAnswered(
+                                        reply, now, waitMillis, bornMillis, acknowledgedNumber));
     }
 
     private void renewalAnswered(
             WorkerOrders.RenewalReply reply,
             ClockReading sentAt,
             long waitMillis,
-            long sentEndNumber) {
+            long bornMillis,
+            long acknowledgedNumber) {
         renewalInFlight = false;
         if (closed) {
             return;
@@ -251,7 +257,8 @@
             case DONE -> {
                 answered = true;
                 adaptAnswerTimeout(sentAt.monotonicMillis() + waitMillis);
-                acknowledgedEndNumber = Math.max(acknowledgedEndNumber, sentEndNumber);
+                acknowledgements.confirmAcknowledged(bornMillis, acknowledgedNumber);
+                acknowledgements.confirmListed();
                 leaderLease.recordWorkerAnswer(info.id(), sentAt);
                 listsReceived(reply, sentAt.monotonicMillis());
             }
@@ -287,7 +294,7 @@
         logEnds(lists);
         state.updateRuns(info.id(), lists, sentMillis, reply.isComplete(), clock.now());
         callbacks.stateChanged();
-        if (storedEndNumber < state.workerReports().lastEndNumber(info.id())) {
+        if (acknowledgements.hasUnstored(lastEndNumber())) {
             pause(UNSTORED_ENDS_PAUSE_MILLIS);
         } else if (leaderLease.needsWorkerAnswers(clock.now())
                 && !(callbacks.mayGrant() && mayHaveRuns())) {
@@ -299,7 +306,7 @@
 
     private void logEnds(WorkerLists lists) {
         for (WorkerLists.Ended ended : lists.ended()) {
-            if (ended.number() > state.workerReports().lastEndNumber(info.id())) {
+            if (ended.number() > lastEndNumber()) {
                 metrics.count(Name.RUN_ENDS, ended.end());
                 EventLog.of(NodeEvent.RUN_ENDED)
                         .with("task", ended.task())
@@ -312,6 +319,7 @@
     }
 
     private void renewalFailed(WorkerOrders.RenewalReply reply) {
+        acknowledgements.awaitLists();
         consecutiveFailures++;
         if (consecutiveFailures == UNRESPONSIVE_AFTER_FAILURES) {
             answerTimeoutMillis = SLOW_ANSWER_TIMEOUT_MILLIS;
@@ -341,6 +349,10 @@
         }
     }
 
+    private long lastEndNumber() {
+        return state.workerReports().lastEndNumber(info.id());
+    }
+
     private boolean haveLeasesLapsed() {
         return leaseClock.haveLeasesLapsed(clock.monotonicMillis())
                 && callbacks.havePredecessorLeasesLapsed();
@@ -368,8 +380,7 @@
     /** Makes renewals of a removed worker unnecessary. They resume once it registers again. */
     private void resetRenewalState() {
         consecutiveFailures = 0;
-        storedEndNumber = 0;
-        acknowledgedEndNumber = 0;
+        acknowledgements.beginIncarnation(info.bornMillis());
     }
 
     /** A new incarnation has its own clock, has no leases, and numbers its ends of runs afresh. */
@@ -381,8 +392,7 @@
                 .write();
         info = info.withBornMillis(bornMillis);
         resetLeaseClock();
-        storedEndNumber = 0;
-        acknowledgedEndNumber = 0;
+        acknowledgements.beginIncarnation(bornMillis);
     }
 
     private void resetLeaseClock() {
@@ -401,6 +411,7 @@
                     .with("shownBy", "its clock")
                     .write();
             resetLeaseClock();
+            acknowledgements.awaitLists();
             state.workerReports().require(info.id());
         }
         leaseClock.observe(workerClockMillis.getAsLong(), clock.monotonicMillis());
--- a/node/src/test/java/io/cardamomshelf/node/schedule/FakeWorkers.java
+++ b/node/src/test/java/io/cardamomshelf/node/schedule/FakeWorkers.java
@@ -50,6 +50,7 @@
         long highestToken;
         long leaseEndMillis;
         long lastEndNumber;
+        private long lastListedEnd;
         int renewals;
 
         /** The lease ends of all renewals, in the order in which they were sent. */
@@ -87,6 +88,12 @@
     /** Each start of a task that was already running, with its time in milliseconds. */
     final List<String> overlaps = new ArrayList<>();
 
+    /** The acknowledged numbers of ends in all renewals, in the order in which they were sent. */
+    final List<Long> acknowledgedEnds = new ArrayList<>();
+
+    /** The ends that were acknowledged before their worker had listed them. */
+    final List<WorkerLists.Ended> unreadEnds = new ArrayList<>();
+
     /** Each start of a task after an end as done was acknowledged, with its time. */
     final List<String> repeats = new ArrayList<>();
 
@@ -231,6 +238,7 @@
             long waitMillis,
             long token,
             long timeoutMillis) {
+        acknowledgedEnds.add(lastAcknowledgedEnd);
         worker(target.id().value()).renewals++;
         worker(target.id().value()).renewedLeaseEnds.add(leaseEndMillis);
         long timeoutAtMillis = time.monotonicMillis() + timeoutMillis;
@@ -316,6 +324,10 @@
     }
 
     private void acknowledgeEnds(FakeWorker worker, long lastAcknowledgedEnd) {
+        worker.ended.stream()
+                .filter(end -> end.number() > worker.lastListedEnd)
+                .filter(end -> end.number() <= lastAcknowledgedEnd)
+                .forEach(unreadEnds::add);
         worker.ended.stream()
                 .filter(end -> end.number() <= lastAcknowledgedEnd && end.end() == RunEnd.DONE)
                 .forEach(end -> acknowledgedDone.add(end.task()));
@@ -326,6 +338,7 @@
         List<WorkerLists.Running> running = new ArrayList<>();
         worker.running.forEach(
                 (task, run) -> running.add(new WorkerLists.Running(task, run, "", 0)));
+        worker.lastListedEnd = worker.lastEndNumber;
         return new WorkerLists(worker.bornMillis, running, worker.ended);
     }
 
--- a/node/src/test/java/io/cardamomshelf/node/schedule/WorkerRestartTest.java
+++ b/node/src/test/java/io/cardamomshelf/node/schedule/WorkerRestartTest.java
@@ -4,7 +4,11 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import io.cardamomshelf.core.base.JobId;
 import io.cardamomshelf.core.base.WorkerId;
+import io.cardamomshelf.core.task.RunEnd;
+import io.cardamomshelf.core.task.TaskId;
+import io.cardamomshelf.node.FakeStore.Fault;
 import io.cardamomshelf.node.port.KeyedStore.Stream;
 import io.cardamomshelf.node.port.StoredRecord;
 import io.cardamomshelf.node.store.JobRecords;
@@ -152,6 +156,74 @@
         }
     }
 
+    @Nested
+    class EndsOfRuns {
+
+        private final JobId second = JobId.of("00000000000000ab");
+        private final TaskId secondTask = TaskId.of(second, 0, 0, 0);
+
+        private void startTask() {
+            lead();
+            submit(1, false);
+            time.advance(500);
+        }
+
+        /** Guards against acknowledging, or never acknowledging, ends with numbers seen before. */
+        @Test
+        void areReadAndAcknowledgedThoughTheEarlierIncarnationHadTheSameNumbers() {
+            startTask();
+            workers.finish("w1", TASK, RunEnd.DONE);
+            time.advance(500);
+            workers.restart("w1");
+            finishSecondTaskAsFirstOfNewIncarnation();
+        }
+
+        private void finishSecondTaskAsFirstOfNewIncarnation() {
+            submit(second, 1, false);
+            while (!workers.isRunning(secondTask)) {
+                time.advance(1);
+            }
+            workers.finish("w1", secondTask, RunEnd.DONE);
+            time.advance(1_000);
+            assertEquals(List.of(), workers.unreadEnds);
+            assertEquals(List.of(), workers.worker("w1").ended);
+            assertEquals(2, workers.starts.size());
+        }
+
+        /** Guards against an acknowledgement counted for an incarnation that never had the end. */
+        @Test
+        void areAcknowledgedThoughAnAcknowledgementWasInFlightDuringTheRestart() {
+            startTask();
+            workers.finish("w1", TASK, RunEnd.DONE);
+            while (!workers.acknowledgedEnds.contains(1L)) {
+                time.advance(1);
+            }
+            workers.restart("w1");
+            register("w1");
+            finishSecondTaskAsFirstOfNewIncarnation();
+        }
+
+        /** Guards against acknowledging ends that only the earlier incarnation has listed. */
+        @Test
+        void areNotAcknowledgedOnceThoseOfTheEarlierIncarnationAreStored() {
+            startTask();
+            store.fault = Fault.REFUSING;
+            workers.finish("w1", TASK, RunEnd.DONE);
+            time.advance(500);
+            workers.restart("w1");
+            time.advance(1_000);
+            int records = store.records(Stream.JOBS).size();
+            store.fault = Fault.NONE;
+            while (store.records(Stream.JOBS).size() == records) {
+                time.advance(1);
+            }
+            workers.worker("w1").running.put(TASK, 1L);
+            workers.finish("w1", TASK, RunEnd.DONE);
+            time.advance(3_000);
+            assertEquals(List.of(), workers.unreadEnds);
+        }
+    }
+
     @Nested
     class Leases {
 
