Ignore answers and entries of a worker's earlier incarnation

Lists of the earlier incarnation that arrived late were applied to the new one: their numbers of ends hid its first ends, which were then acknowledged unread, so that a job stayed `running`. An older entry that was read after the lists of the new incarnation made each later list begin it again.

--- a/core/src/main/java/io/cardamomshelf/core/schedule/SchedulerState.java
+++ b/core/src/main/java/io/cardamomshelf/core/schedule/SchedulerState.java
@@ -179,7 +179,7 @@
     }
 
     /**
-     * Updates the runs of a worker from its lists.
+     * Updates the runs of a worker from its lists, unless they are of an earlier incarnation.
      *
      * @param id the worker, not null
      * @param lists the lists, not null
--- a/core/src/main/java/io/cardamomshelf/core/schedule/WorkerTable.java
+++ b/core/src/main/java/io/cardamomshelf/core/schedule/WorkerTable.java
@@ -98,6 +98,9 @@
             long sentMillis,
             boolean complete,
             ClockReading now) {
+        if (lists.bornMillis() < worker.info().bornMillis()) {
+            return;
+        }
         updateIncarnation(worker, lists.bornMillis());
         worker.unresponsive = false;
         worker.reported = true;
--- a/core/src/test/java/io/cardamomshelf/core/schedule/RestartedWorkerTest.java
+++ b/core/src/test/java/io/cardamomshelf/core/schedule/RestartedWorkerTest.java
@@ -5,6 +5,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import io.cardamomshelf.core.task.RunEnd;
 import java.util.List;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
@@ -82,6 +83,27 @@
             assertEquals(1, fixture.decideStarts().size());
         }
 
+        /** Guards against ends and runs of an earlier incarnation in an answer that is late. */
+        @Test
+        void ignoresListsOfItsEarlierIncarnation() {
+            Order.Start start = startOnOnlyWorker();
+            fixture.confirmStart(start);
+            fixture.restartWorker("w1");
+            fixture.state.updateRuns(
+                    start.worker(),
+                    new WorkerLists(
+                            1,
+                            List.of(running(start.task(), start.run())),
+                            List.of(
+                                    new WorkerLists.Ended(
+                                            7, start.task(), start.run(), RunEnd.FAILED, ""))),
+                    fixture.now().monotonicMillis(),
+                    true,
+                    fixture.now());
+            assertEquals(0, fixture.state.workerReports().lastEndNumber(start.worker()));
+            assertEquals(0, fixture.state.countRuns());
+        }
+
         /** Guards against the first attempt at a start that reaches the new incarnation. */
         @Test
         void isSentTheStopOfAListedRunWhoseStartWasRepeated() {
--- a/node/src/main/java/io/cardamomshelf/node/schedule/OrderSender.java
+++ b/node/src/main/java/io/cardamomshelf/node/schedule/OrderSender.java
@@ -41,8 +41,8 @@
         /** Returns whether the worker has runs, or may have some that aren't known. */
         boolean mayHaveRuns();
 
-        /** Records the worker's clock, if an answer has it, and when that call was sent. */
-        void observeClock(OptionalLong workerClockMillis, long sentMillis);
+        /** Records the worker's clock, if the answer to a call has it. */
+        void observeClock(OptionalLong workerClockMillis, SentCall call);
 
         /** Ends the term, as the worker has refused its fencing token. */
         void fenced();
@@ -104,11 +104,10 @@
         if (worker.isClosed()) {
             return;
         }
-        long sentMillis = clock.monotonicMillis();
-        long bornMillis = worker.bornMillis();
+        SentCall call = new SentCall(worker.bornMillis(), clock.monotonicMillis());
         orders.stop(worker.target(), stop, token, TIMEOUT_MILLIS)
                 .subscribe()
-                .with(reply -> stopAnswered(stop, attempt, bornMillis, sentMillis, reply));
+                .with(reply -> stopAnswered(stop, attempt, call, reply));
     }
 
     private void start(Order.Start start, int attempt, long bornMillis) {
@@ -119,23 +118,19 @@
             state.handleStartOutcome(start, outcome(attempt, Answer.REFUSED), clock.now());
             return;
         }
-        long sentMillis = clock.monotonicMillis();
-        long leaseEndMillis = leaseClock.grantLease(sentMillis, leaseMillis);
+        SentCall call = new SentCall(bornMillis, clock.monotonicMillis());
+        long leaseEndMillis = leaseClock.grantLease(call.sentMillis(), leaseMillis);
         orders.start(worker.target(), start, leaseEndMillis, token, TIMEOUT_MILLIS)
                 .subscribe()
-                .with(reply -> startAnswered(start, attempt, bornMillis, sentMillis, reply));
+                .with(reply -> startAnswered(start, attempt, call, reply));
     }
 
     private void startAnswered(
-            Order.Start start,
-            int attempt,
-            long bornMillis,
-            long sentMillis,
-            WorkerOrders.Reply reply) {
+            Order.Start start, int attempt, SentCall call, WorkerOrders.Reply reply) {
         if (worker.isClosed()) {
             return;
         }
-        worker.observeClock(reply.clockMillis(), sentMillis);
+        worker.observeClock(reply.clockMillis(), call);
         if (reply.answer() == Answer.FENCED) {
             worker.fenced();
             return;
@@ -143,8 +138,8 @@
         if (reply.answer() != Answer.DONE) {
             logStartFailure(start, attempt, reply);
         }
-        if (mayRepeat(start, attempt, bornMillis, reply.answer())) {
-            start(start, attempt + 1, bornMillis);
+        if (mayRepeat(start, attempt, call.bornMillis(), reply.answer())) {
+            start(start, attempt + 1, call.bornMillis());
             return;
         }
         state.handleStartOutcome(start, outcome(attempt, reply.answer()), clock.now());
@@ -193,19 +188,15 @@
     }
 
     private void stopAnswered(
-            Order.Stop stop,
-            int attempt,
-            long bornMillis,
-            long sentMillis,
-            WorkerOrders.Reply reply) {
+            Order.Stop stop, int attempt, SentCall call, WorkerOrders.Reply reply) {
         if (worker.isClosed()) {
             return;
         }
-        worker.observeClock(reply.clockMillis(), sentMillis);
+        worker.observeClock(reply.clockMillis(), call);
         switch (reply.answer()) {
             case FENCED -> worker.fenced();
             case DONE, OTHER_INCARNATION -> {
-                if (bornMillis != worker.bornMillis()) {
+                if (call.bornMillis() != worker.bornMillis()) {
                     // The earlier incarnation may have answered.
                     stop(stop, attempt + 1);
                     return;
--- a/node/src/main/java/io/cardamomshelf/node/schedule/WorkerLink.java
+++ b/node/src/main/java/io/cardamomshelf/node/schedule/WorkerLink.java
@@ -131,11 +131,14 @@
         return other.bornMillis() > info.bornMillis();
     }
 
+    /** Uses a registry entry, unless it is of an earlier incarnation. */
     void updateInfo(WorkerInfo newInfo) {
         if (isOlderThan(newInfo)) {
             beginIncarnation(newInfo.bornMillis(), "its entry");
         }
-        info = newInfo;
+        if (newInfo.bornMillis() == info.bornMillis()) {
+            info = newInfo;
+        }
     }
 
     void close() {
@@ -249,10 +252,19 @@
         if (closed) {
             return;
         }
-        if (reply.answer() == Answer.DONE && reply.lists().bornMillis() > info.bornMillis()) {
-            beginIncarnation(reply.lists().bornMillis(), "its lists");
+        if (reply.answer() == Answer.DONE) {
+            if (reply.lists().bornMillis() < info.bornMillis()) {
+                pause(RETRY_PAUSE_MILLIS);
+                return;
+            }
+            if (reply.lists().bornMillis() > info.bornMillis()) {
+                beginIncarnation(reply.lists().bornMillis(), "its lists");
+            }
         }
-        observeClock(reply.clockMillis(), sentAt.monotonicMillis());
+        long answeredBornMillis =
+                reply.answer() == Answer.DONE ? reply.lists().bornMillis() : bornMillis;
+        observeClock(
+                reply.clockMillis(), new SentCall(answeredBornMillis, sentAt.monotonicMillis()));
         switch (reply.answer()) {
             case DONE -> {
                 answered = true;
@@ -399,13 +411,16 @@
         leaseClock.reset(clock.monotonicMillis() + LeaseClock.worstCaseMillis(maxLeaseMillis));
     }
 
-    /** Records the clock in an answer. If it shows a restart, the worker is asked for its lists. */
+    /**
+     * Records the clock in an answer. If it shows a restart, the worker is asked for its lists. An
+     * answer to a call from before a known restart may have the clock of either incarnation.
+     */
     @Override
-    public void observeClock(OptionalLong workerClockMillis, long sentMillis) {
-        if (workerClockMillis.isEmpty()) {
+    public void observeClock(OptionalLong workerClockMillis, SentCall call) {
+        if (workerClockMillis.isEmpty() || call.bornMillis() != info.bornMillis()) {
             return;
         }
-        if (leaseClock.showsRestart(workerClockMillis.getAsLong(), sentMillis)) {
+        if (leaseClock.showsRestart(workerClockMillis.getAsLong(), call.sentMillis())) {
             EventLog.of(NodeEvent.WORKER_RESTARTED)
                     .with("worker", info.id())
                     .with("shownBy", "its clock")
--- a/node/src/test/java/io/cardamomshelf/node/schedule/WorkerRestartTest.java
+++ b/node/src/test/java/io/cardamomshelf/node/schedule/WorkerRestartTest.java
@@ -6,6 +6,7 @@
 
 import io.cardamomshelf.core.base.JobId;
 import io.cardamomshelf.core.base.WorkerId;
+import io.cardamomshelf.core.task.JobState;
 import io.cardamomshelf.core.task.RunEnd;
 import io.cardamomshelf.core.task.TaskId;
 import io.cardamomshelf.node.FakeStore.Fault;
@@ -224,6 +225,54 @@
         }
     }
 
+    /** Answers and entries of an incarnation that arrive after the next one is known. */
+    @Nested
+    class LateMessages {
+
+        private final WorkerId worker = WorkerId.of("w1");
+
+        /** Guards against the numbers of ends in such an answer, which hide new ends. */
+        @Test
+        void doNotHideEndsOfRuns() {
+            storeConfigurationAndWorkers("w1");
+            Process process = new Process("one");
+            time.advance(4_000);
+            submit(1, false);
+            time.advance(500);
+            workers.renewalDelayMillis.put(worker, 700L);
+            time.advance(2_000);
+            workers.finish("w1", TASK, RunEnd.FAILED);
+            time.advance(100);
+            workers.restart("w1");
+            register("w1");
+            workers.renewalDelayMillis.clear();
+            time.advance(1_500);
+            assertTrue(workers.isRunning(TASK));
+            workers.finish("w1", TASK, RunEnd.DONE);
+            time.advance(3_000);
+            assertEquals(JobState.COMPLETED, process.state());
+            assertEquals(List.of(), workers.repeats);
+        }
+
+        /** Guards against an older entry that is read after the lists of the new incarnation. */
+        @Test
+        void doNotBeginTheIncarnationAgain() {
+            lead();
+            workers.restart("w1");
+            submit(1, false);
+            time.advance(200);
+            for (int i = 0; i < 20; i++) {
+                store.write(Stream.WORKERS, record("w1"));
+                time.advance(1_000);
+            }
+            assertTrue(workers.isRunning(TASK));
+            register("w2");
+            workers.disconnected.add(worker);
+            time.advance(9_500);
+            assertEquals(WorkerId.of("w2"), workers.hostOf(TASK));
+        }
+    }
+
     @Nested
     class Leases {
 
