--- /dev/null
+++ b/node/src/test/java/io/cardamomshelf/node/schedule/WorkerRestartFuzzTest.java
@@ -0,0 +1,167 @@
+package io.cardamomshelf.node.schedule;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.cardamomshelf.core.base.JobId;
+import io.cardamomshelf.core.base.WorkerId;
+import io.cardamomshelf.core.task.RunEnd;
+import io.cardamomshelf.core.task.TaskId;
+import io.cardamomshelf.node.FakeStore.Fault;
+import io.cardamomshelf.node.port.KeyedStore.Stream;
+import io.cardamomshelf.node.store.JobRecords;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/**
+ * Tests one scheduler with workers that restart under their identifiers, beside cuts, refusals,
+ * answers that are lost or slow, cancelled jobs and outages of the store.
+ */
+class WorkerRestartFuzzTest extends SchedulingFixture {
+
+    private static final String[] WORKERS = {"w1", "w2", "w3", "w4"};
+    private static final long SIMULATED_MILLIS = 60_000;
+    private static final int MAX_JOBS = 60;
+
+    /** Longer than the leases of an unresponsive worker take to lapse, in milliseconds. */
+    private static final long RECOVERY_MILLIS = 15_000;
+
+    private final List<JobId> jobs = new ArrayList<>();
+    private Random random;
+    private Process process;
+
+    private void simulate(long seed) {
+        random = new Random(seed);
+        storeConfigurationAndWorkers(WORKERS);
+        if (random.nextBoolean()) {
+            reportWorkerClocks();
+        }
+        process = new Process("one");
+        time.advance(4_000);
+        long endMillis = time.monotonicMillis() + SIMULATED_MILLIS;
+        while (time.monotonicMillis() < endMillis) {
+            time.advance(random.nextInt(400));
+            performRandomAction();
+        }
+        recover();
+    }
+
+    private void performRandomAction() {
+        String worker = WORKERS[random.nextInt(WORKERS.length)];
+        WorkerId id = WorkerId.of(worker);
+        switch (random.nextInt(16)) {
+            case 0, 1, 2 -> submitJob();
+            case 3, 4, 5, 6 -> finishRandomRun(random.nextInt(4) == 0);
+            case 7, 8 -> restart(worker, random.nextInt(2_500));
+            case 9 -> toggle(workers.disconnected, id);
+            case 10 -> toggle(workers.losingAnswers, id);
+            case 11 -> toggle(workers.refusing, id);
+            case 12 -> toggle(workers.answerDelayMillis, id, 500);
+            case 13 -> cancelRandomJob();
+            case 14 -> store.fault = Fault.REFUSING;
+            default -> store.fault = Fault.NONE;
+        }
+    }
+
+    private void submitJob() {
+        if (jobs.size() < MAX_JOBS) {
+            JobId id = JobId.of(String.format("%016x", 0xf00 + jobs.size()));
+            jobs.add(id);
+            submit(id, 1 + random.nextInt(2), false);
+        }
+    }
+
+    private void cancelRandomJob() {
+        if (!jobs.isEmpty()) {
+            store.write(Stream.JOBS, JobRecords.cancelled(jobs.get(random.nextInt(jobs.size()))));
+        }
+    }
+
+    private void finishRandomRun(boolean fails) {
+        List<Runnable> ends = new ArrayList<>();
+        RunEnd end = fails ? RunEnd.FAILED : RunEnd.DONE;
+        for (Map.Entry<WorkerId, Set<TaskId>> host : workers.running().entrySet()) {
+            for (TaskId task : host.getValue()) {
+                ends.add(() -> workers.finish(host.getKey().value(), task, end));
+            }
+        }
+        if (!ends.isEmpty()) {
+            ends.get(random.nextInt(ends.size())).run();
+        }
+    }
+
+    /** Restarts a worker, which registers some time later. */
+    private void restart(String worker, long registrationDelayMillis) {
+        workers.restart(worker);
+        time.after(registrationDelayMillis, () -> register(worker));
+    }
+
+    private static void toggle(Set<WorkerId> workers, WorkerId id) {
+        if (!workers.remove(id)) {
+            workers.add(id);
+        }
+    }
+
+    private void toggle(Map<WorkerId, Long> delays, WorkerId id, int maxMillis) {
+        if (delays.remove(id) == null) {
+            delays.put(id, (long) random.nextInt(maxMillis));
+        }
+    }
+
+    /** Ends all faults, and finishes runs until every job has ended. */
+    private void recover() {
+        store.fault = Fault.NONE;
+        workers.disconnected.clear();
+        workers.losingAnswers.clear();
+        workers.refusing.clear();
+        workers.answerDelayMillis.clear();
+        time.advance(RECOVERY_MILLIS);
+        for (int i = 0; i < 10 * MAX_JOBS && !hasEnded(); i++) {
+            finishRandomRun(false);
+            time.advance(500);
+        }
+        time.advance(RECOVERY_MILLIS);
+    }
+
+    private boolean hasEnded() {
+        return jobs.stream().allMatch(this::hasEnded);
+    }
+
+    private boolean hasEnded(JobId id) {
+        return process.candidate.jobs().find(id).filter(e -> e.state().isEnded()).isPresent();
+    }
+
+    @Nested
+    class RandomRestarts {
+
+        @ParameterizedTest
+        @ValueSource(
+                longs = {
+                    1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22,
+                    23, 24, 25, 26, 27, 28, 29, 30
+                })
+        void causeNoTaskToRunTwiceAndLeaveNoneBehind(long seed) {
+            simulate(seed);
+            assertEquals(List.of(), workers.overlaps);
+            assertEquals(List.of(), workers.repeats);
+            assertEquals(List.of(), workers.unreadEnds);
+            assertTrue(
+                    hasEnded(),
+                    () ->
+                            "jobs that have not ended: "
+                                    + jobs.stream().filter(j -> !hasEnded(j)).toList());
+            assertEquals(
+                    Set.of(),
+                    Set.copyOf(workers.running().values().stream().flatMap(Set::stream).toList()));
+            for (String worker : WORKERS) {
+                assertEquals(List.of(), workers.worker(worker).ended);
+            }
+        }
+    }
+}
