Assume the longest lease for a start that got no answer

A start computes its lease from the clock of the incarnation that is known. If the worker has restarted unnoticed, that end is far ahead, and the new incarnation runs for the longest lease it grants (10 s); if its answer is lost and it is cut off, the scheduler held the lease for lapsed after 5.9 s and started the task elsewhere beside it.

Evidence: WorkerRestartTest$Leases "ofAnUnansweredStartAreAssumedToBeTheLongest", an overlap before.

Ruled out: waiting 10.5 s for all runs of a lost worker, which would delay each plain loss; runs whose starts were answered are given up as before ("ofOtherRunsLapseInTimeBesideAnUnansweredStart").

--- a/core/src/main/java/io/cardamomshelf/core/schedule/Run.java
+++ b/core/src/main/java/io/cardamomshelf/core/schedule/Run.java
@@ -30,7 +30,7 @@
     private static final long MILLIS_PER_UNIT = 1_000;
 
     private static final int COMPLETE_PERCENT = 100;
-    private static final long NOT_ANSWERED = Long.MIN_VALUE;
+    private static final long NEVER = Long.MIN_VALUE;
 
     final TaskId task;
     final long number;
@@ -44,7 +44,7 @@
      * When the last order was answered, on the monotonic clock. If a list that was requested later
      * lacks the run, the run no longer exists.
      */
-    long answeredMillis = NOT_ANSWERED;
+    long answeredMillis = NEVER;
 
     /** Whether its start got no answer; such a run is stopped, as it may exist or not. */
     boolean startUnanswered;
@@ -52,8 +52,11 @@
     /** Whether its worker has listed it. */
     boolean listed;
 
-    /** Whether an attempt at its start got no answer, so that the worker may receive it late. */
-    private boolean receivableLate;
+    /**
+     * When an attempt at its start last got no answer, on the monotonic clock. The worker may
+     * receive such an attempt late.
+     */
+    private long unansweredMillis = NEVER;
 
     Run(TaskId task, long number, WorkerState worker, TaskGroup group, long nowMillis) {
         this.task = task;
@@ -64,7 +67,7 @@
     }
 
     boolean isAnsweredBefore(long millis) {
-        return answeredMillis != NOT_ANSWERED && answeredMillis < millis;
+        return answeredMillis != NEVER && answeredMillis < millis;
     }
 
     /**
@@ -72,18 +75,21 @@
      * answer to a start doesn't tell the incarnation that gave it; a list does.
      */
     boolean mayBeOnNewIncarnation() {
-        return !listed || receivableLate;
+        return !listed || wasUnanswered();
+    }
+
+    /** Records that an attempt at its start got no answer. */
+    void markUnanswered(long nowMillis) {
+        unansweredMillis = nowMillis;
     }
 
-    /** Records that an attempt at its start got no answer, and that another one is possible. */
-    void markReceivableLate() {
-        receivableLate = true;
+    private boolean wasUnanswered() {
+        return unansweredMillis != NEVER;
     }
 
-    /** Records that its start got no answer. */
-    void markStartUnanswered() {
-        receivableLate = true;
-        startUnanswered = true;
+    /** Whether an attempt at its start got no answer at this time or later. */
+    boolean isUnansweredSince(long millis) {
+        return unansweredMillis >= millis;
     }
 
     /**
@@ -91,10 +97,10 @@
      * it has to be stopped there again.
      */
     void beginIncarnation() {
-        if (receivableLate) {
+        if (wasUnanswered()) {
             startUnanswered = true;
             phase = phase == Phase.STOPPED ? Phase.ORDERED : phase;
-            answeredMillis = NOT_ANSWERED;
+            answeredMillis = NEVER;
         }
     }
 
--- a/core/src/main/java/io/cardamomshelf/core/schedule/SchedulerState.java
+++ b/core/src/main/java/io/cardamomshelf/core/schedule/SchedulerState.java
@@ -160,12 +160,15 @@
     }
 
     /**
-     * Records that none of a worker's runs can still exist, and removes them.
+     * Records that none of a worker's runs can still exist, and removes them. Those whose start got
+     * no answer lately stay: a restarted worker may have them under a longer lease than granted.
      *
      * @param id the worker, not null
+     * @param unansweredBeforeMillis until when an unanswered start leaves no run, on the monotonic
+     *     clock
      */
-    public void markWorkerLost(WorkerId id) {
-        workers.markLost(id);
+    public void markWorkerLost(WorkerId id, long unansweredBeforeMillis) {
+        workers.markLost(id, unansweredBeforeMillis);
     }
 
     /**
@@ -196,11 +199,12 @@
      * Records that the worker may still receive a start that it hasn't answered.
      *
      * @param start the order, not null
+     * @param now the time, not null
      * @return whether to repeat it: not if the run isn't known any more, or is being stopped
      */
-    public boolean handleUnansweredStart(Order.Start start) {
+    public boolean handleUnansweredStart(Order.Start start, ClockReading now) {
         Optional<Run> run = workers.find(start);
-        run.ifPresent(Run::markReceivableLate);
+        run.ifPresent(found -> found.markUnanswered(now.monotonicMillis()));
         return run.isPresent() && !run.get().isBeingStopped();
     }
 
@@ -223,7 +227,10 @@
                 workers.remove(run);
                 run.worker.recordRefusal(now.monotonicMillis());
             }
-            default -> run.markStartUnanswered();
+            default -> {
+                run.markUnanswered(now.monotonicMillis());
+                run.startUnanswered = true;
+            }
         }
     }
 
--- a/core/src/main/java/io/cardamomshelf/core/schedule/WorkerTable.java
+++ b/core/src/main/java/io/cardamomshelf/core/schedule/WorkerTable.java
@@ -78,16 +78,18 @@
         }
     }
 
-    void markLost(WorkerId id) {
+    void markLost(WorkerId id, long unansweredBeforeMillis) {
         WorkerState state = workers.get(id);
         unreported.remove(id);
         jobs.markReported(id, Set.of());
         if (state == null) {
             return;
         }
-        state.runs().forEach(this::remove);
+        state.runs().stream()
+                .filter(run -> !run.isUnansweredSince(unansweredBeforeMillis))
+                .forEach(this::remove);
         orphans.clear(id);
-        if (!state.isRegistered()) {
+        if (!state.isRegistered() && state.isIdle()) {
             workers.remove(id);
         }
     }
--- a/core/src/test/java/io/cardamomshelf/core/schedule/TakeoverTest.java
+++ b/core/src/test/java/io/cardamomshelf/core/schedule/TakeoverTest.java
@@ -230,7 +230,7 @@
             fixture.registerWorker("w1", "r1-1").registerWorker("w2", "r1-1");
             fixture.state.endInheritance();
             fixture.report("w1");
-            fixture.state.markWorkerLost(SchedulerFixture.worker("w2"));
+            fixture.state.markWorkerLost(SchedulerFixture.worker("w2"), Long.MAX_VALUE);
             assertEquals(1, fixture.decideStarts().size());
         }
 
--- a/node/src/main/java/io/cardamomshelf/node/schedule/OrderSender.java
+++ b/node/src/main/java/io/cardamomshelf/node/schedule/OrderSender.java
@@ -157,7 +157,7 @@
     private boolean mayRepeat(Order.Start start, int attempt, long bornMillis, Answer answer) {
         return switch (answer) {
             case UNKNOWN, TOO_LATE ->
-                    state.handleUnansweredStart(start)
+                    state.handleUnansweredStart(start, clock.now())
                             && bornMillis == worker.bornMillis()
                             && attempt < MAX_START_ATTEMPTS
                             && worker.mayGrant();
--- a/node/src/main/java/io/cardamomshelf/node/schedule/SchedulerTerm.java
+++ b/node/src/main/java/io/cardamomshelf/node/schedule/SchedulerTerm.java
@@ -193,8 +193,8 @@
     }
 
     @Override
-    public void workerLost(WorkerId worker) {
-        state.markWorkerLost(worker);
+    public void workerLost(WorkerId worker, long unansweredBeforeMillis) {
+        state.markWorkerLost(worker, unansweredBeforeMillis);
         rosterWriter.dropUnregistered(registeredWorkers());
         stateChanged();
     }
--- a/node/src/main/java/io/cardamomshelf/node/schedule/WorkerLink.java
+++ b/node/src/main/java/io/cardamomshelf/node/schedule/WorkerLink.java
@@ -42,8 +42,11 @@
         /** Ends the term, as the worker has refused its fencing token. */
         void fenced(WorkerInfo worker);
 
-        /** Removes the worker's runs from the state, as none of them can still be running. */
-        void workerLost(WorkerId worker);
+        /**
+         * Removes the worker's runs from the state, as none of them can still be running, but for
+         * those whose start got no answer at the given time or later, on the monotonic clock.
+         */
+        void workerLost(WorkerId worker, long unansweredBeforeMillis);
 
         /** Returns whether leases may be granted now. */
         boolean mayGrant();
@@ -293,7 +296,7 @@
     private void otherIncarnationAnswered() {
         consecutiveFailures++;
         state.setUnresponsive(info.id(), true);
-        declareRunsLost("another incarnation answers at its address");
+        declareRunsLost("another incarnation answers at its address", Long.MAX_VALUE);
         pause(RETRY_PAUSE_MILLIS);
     }
 
@@ -343,19 +346,19 @@
                     .write();
         }
         if (consecutiveFailures >= UNRESPONSIVE_AFTER_FAILURES && haveLeasesLapsed()) {
-            declareRunsLost("its leases have lapsed");
+            declareRunsLost("its leases have lapsed", clock.monotonicMillis() - worstLeaseMillis());
         }
         pause(RETRY_PAUSE_MILLIS);
     }
 
-    private void declareRunsLost(String cause) {
+    private void declareRunsLost(String cause, long unansweredBeforeMillis) {
         if (mayHaveRuns()) {
             EventLog.of(NodeEvent.WORKER_LOST)
                     .with("worker", info.id())
                     .with("cause", cause)
                     .write();
         }
-        callbacks.workerLost(info.id());
+        callbacks.workerLost(info.id(), unansweredBeforeMillis);
         if (!state.isWorkerKnown(info.id())) {
             resetRenewalState();
         }
@@ -408,7 +411,12 @@
     }
 
     private void resetLeaseClock() {
-        leaseClock.reset(clock.monotonicMillis() + LeaseClock.worstCaseMillis(maxLeaseMillis));
+        leaseClock.reset(clock.monotonicMillis() + worstLeaseMillis());
+    }
+
+    /** How long an incarnation may run under the lease of a call that was meant for another one. */
+    private long worstLeaseMillis() {
+        return LeaseClock.worstCaseMillis(maxLeaseMillis);
     }
 
     /**
--- a/node/src/test/java/io/cardamomshelf/node/schedule/SchedulingFixture.java
+++ b/node/src/test/java/io/cardamomshelf/node/schedule/SchedulingFixture.java
@@ -173,11 +173,20 @@
         submit(JOB, count, gang);
     }
 
+    /** Submits a job of one task, of which a worker has room for eight. */
+    void submitSmall(JobId id) {
+        submit(id, 1, 1, false);
+    }
+
     void submit(JobId id, int count, boolean gang) {
+        submit(id, count, 8, gang);
+    }
+
+    private void submit(JobId id, int count, int accelerators, boolean gang) {
         StepSpec step =
                 new StepSpec(
                         count,
-                        Resources.of(1_000, 1_000, 8),
+                        Resources.of(1_000, 1_000, accelerators),
                         5_000,
                         List.of(),
                         false,
--- a/node/src/test/java/io/cardamomshelf/node/schedule/WorkerRestartTest.java
+++ b/node/src/test/java/io/cardamomshelf/node/schedule/WorkerRestartTest.java
@@ -318,6 +318,44 @@
             assertRestartedElsewhere();
         }
 
+        /** Guards against a lease that an unknown incarnation takes for longer than was granted. */
+        @Test
+        void ofAnUnansweredStartAreAssumedToBeTheLongest() {
+            lead();
+            workers.restart("w1");
+            workers.losingAnswers.add(WorkerId.of("w1"));
+            submit(1, false);
+            while (!workers.isRunning(TASK)) {
+                time.advance(1);
+            }
+            workers.disconnected.add(WorkerId.of("w1"));
+            register("w2");
+            time.advance(9_000);
+            assertEquals(WorkerId.of("w1"), workers.hostOf(TASK));
+            time.advance(6_000);
+            assertEquals(WorkerId.of("w2"), workers.hostOf(TASK));
+            assertEquals(List.of(), workers.overlaps);
+        }
+
+        /** Guards against such a wait for the runs that the worker has listed. */
+        @Test
+        void ofOtherRunsLapseInTimeBesideAnUnansweredStart() {
+            lead();
+            submitSmall(JOB);
+            time.advance(1_000);
+            JobId second = JobId.of("00000000000000ab");
+            workers.disconnected.add(WorkerId.of("w1"));
+            submitSmall(second);
+            time.advance(500);
+            register("w2");
+            time.advance(7_500);
+            assertEquals(WorkerId.of("w2"), workers.hostOf(TASK));
+            assertFalse(workers.isRunning(TaskId.of(second, 0, 0, 0)));
+            time.advance(6_000);
+            assertTrue(workers.isRunning(TaskId.of(second, 0, 0, 0)));
+            assertEquals(List.of(), workers.overlaps);
+        }
+
         /** Guards against runs that lapse as each list of a restarted worker resets its clock. */
         @Test
         void areRenewedThoughTheEntryOfTheNewIncarnationIsMissing() {
