Don't count a start that a worker refused as late among those it may still receive

A start that is refused with `late` was answered, so it can't be carried out any more: it needs no stop on a new incarnation and doesn't keep its run when the worker is lost.

--- a/core/src/main/java/io/cardamomshelf/core/schedule/Run.java
+++ b/core/src/main/java/io/cardamomshelf/core/schedule/Run.java
@@ -84,7 +84,7 @@
     }
 
     private boolean wasUnanswered() {
-        return unansweredMillis != NEVER;
+        return startUnanswered || unansweredMillis != NEVER;
     }
 
     /** Whether an attempt at its start got no answer at this time or later. */
--- a/core/src/main/java/io/cardamomshelf/core/schedule/SchedulerState.java
+++ b/core/src/main/java/io/cardamomshelf/core/schedule/SchedulerState.java
@@ -196,15 +196,18 @@
     }
 
     /**
-     * Records that the worker may still receive a start that it hasn't answered.
+     * Records a failed attempt at a start. A worker may still receive one that it hasn't answered.
      *
      * @param start the order, not null
+     * @param unanswered whether there was no answer
      * @param now the time, not null
      * @return whether to repeat it: not if the run isn't known any more, or is being stopped
      */
-    public boolean handleUnansweredStart(Order.Start start, ClockReading now) {
+    public boolean handleFailedStart(Order.Start start, boolean unanswered, ClockReading now) {
         Optional<Run> run = workers.find(start);
-        run.ifPresent(found -> found.markUnanswered(now.monotonicMillis()));
+        if (unanswered) {
+            run.ifPresent(found -> found.markUnanswered(now.monotonicMillis()));
+        }
         return run.isPresent() && !run.get().isBeingStopped();
     }
 
@@ -227,10 +230,7 @@
                 workers.remove(run);
                 run.worker.recordRefusal(now.monotonicMillis());
             }
-            default -> {
-                run.markUnanswered(now.monotonicMillis());
-                run.startUnanswered = true;
-            }
+            default -> run.startUnanswered = true;
         }
     }
 
--- a/core/src/test/java/io/cardamomshelf/core/schedule/RestartedWorkerTest.java
+++ b/core/src/test/java/io/cardamomshelf/core/schedule/RestartedWorkerTest.java
@@ -108,7 +108,7 @@
         @Test
         void isSentTheStopOfAListedRunWhoseStartWasRepeated() {
             Order.Start start = startOnOnlyWorker();
-            assertTrue(fixture.state.handleUnansweredStart(start, fixture.now()));
+            assertTrue(fixture.state.handleFailedStart(start, true, fixture.now()));
             fixture.confirmStart(start);
             fixture.report("w1", running(start.task(), start.run()));
             assertEquals(List.of(), fixture.decide());
--- a/node/src/main/java/io/cardamomshelf/node/schedule/OrderSender.java
+++ b/node/src/main/java/io/cardamomshelf/node/schedule/OrderSender.java
@@ -115,6 +115,7 @@
             return;
         }
         if (!leaseClock.hasObservation()) {
+            // The worker has restarted, and its new clock isn't known yet.
             state.handleStartOutcome(start, outcome(attempt, Answer.REFUSED), clock.now());
             return;
         }
@@ -155,14 +156,12 @@
      * another kind, nor once its run was given up.
      */
     private boolean mayRepeat(Order.Start start, int attempt, long bornMillis, Answer answer) {
-        return switch (answer) {
-            case UNKNOWN, TOO_LATE ->
-                    state.handleUnansweredStart(start, clock.now())
-                            && bornMillis == worker.bornMillis()
-                            && attempt < MAX_START_ATTEMPTS
-                            && worker.mayGrant();
-            default -> false;
-        };
+        boolean failed = answer == Answer.UNKNOWN || answer == Answer.TOO_LATE;
+        return failed
+                && state.handleFailedStart(start, answer == Answer.UNKNOWN, clock.now())
+                && bornMillis == worker.bornMillis()
+                && attempt < MAX_START_ATTEMPTS
+                && worker.mayGrant();
     }
 
     /** A refusal is final only if no earlier attempt may still be carried out. */
