Stand-ins: workers that restart under their identifier, and unhealthy ones

Three sessions over real processes: a restarted worker that registers a second later runs a task once, a task lost in a restart runs again, and a cancelled task is stopped once its worker is healthy.

--- a/sessions/src/main/java/io/cardamomshelf/sessions/PlatformDeployment.java
+++ b/sessions/src/main/java/io/cardamomshelf/sessions/PlatformDeployment.java
@@ -142,6 +142,18 @@
         http.send("PUT", storeAddress() + "/switch/" + fault, "");
     }
 
+    /**
+     * Changes a worker.
+     *
+     * @param worker its identifier, {@code i-0} for the first one, not null
+     * @param change {@code restart}, which keeps the identifier, {@code unhealthy} or {@code
+     *     healthy}, not null
+     * @throws SessionException if the stand-ins don't answer
+     */
+    public void changeWorker(String worker, String change) throws SessionException {
+        http.send("PUT", HOST + ":" + standinPort("counts") + "/" + change + "/" + worker, "");
+    }
+
     /**
      * Sends a request for a job to an instance, with the key of its organisation.
      *
@@ -243,9 +255,10 @@
     }
 
     /**
-     * Returns how many tasks were started, or started while another run of the same task ran.
+     * Returns how many tasks were started, or started while another run of the same task ran, or
+     * are running.
      *
-     * @param counter {@code starts} or {@code overlaps}, not null
+     * @param counter {@code starts}, {@code overlaps} or {@code running}, not null
      * @return the number
      * @throws SessionException if the stand-ins don't answer
      */
--- a/sessions/src/test/java/io/cardamomshelf/sessions/PlatformSessionTest.java
+++ b/sessions/src/test/java/io/cardamomshelf/sessions/PlatformSessionTest.java
@@ -62,6 +62,60 @@
         }
     }
 
+    @Nested
+    class Workers {
+
+        private static final String WORKER = "i-0";
+
+        /**
+         * Guards against a second run of a task that a restarted worker took before it registered.
+         */
+        @Test
+        void restartedWorkerRunsATaskOnceThoughItRegistersLater(@TempDir Path folder)
+                throws SessionException {
+            try (PlatformDeployment deployment = PlatformDeployment.start(folder, 1)) {
+                startTwoInstances(deployment);
+                deployment.changeWorker(WORKER, "restart");
+                deployment.call("n1", "POST", JOB, body("ms=3000", 1));
+                awaitState(deployment, "n1", "completed");
+                assertEquals(1, deployment.count("starts"));
+                assertEquals(0, deployment.count("overlaps"));
+            }
+        }
+
+        @Test
+        void restartedWorkerRunsTheTaskThatItLost(@TempDir Path folder) throws SessionException {
+            try (PlatformDeployment deployment = PlatformDeployment.start(folder, 1)) {
+                startTwoInstances(deployment);
+                deployment.call("n1", "POST", JOB, body("ms=3000", 1));
+                Wait.until("the task runs", () -> deployment.count("running") == 1);
+                deployment.changeWorker(WORKER, "restart");
+                awaitState(deployment, "n1", "completed");
+                assertEquals(2, deployment.count("starts"));
+                assertEquals(0, deployment.count("overlaps"));
+            }
+        }
+
+        /** Guards against a task of a cancelled job that runs on after an unhealthy time. */
+        @Test
+        void unhealthyWorkerStopsACancelledTaskOnceItIsHealthy(@TempDir Path folder)
+                throws SessionException {
+            try (PlatformDeployment deployment = PlatformDeployment.start(folder, 1)) {
+                startTwoInstances(deployment);
+                deployment.call("n1", "POST", JOB, body("ms=60000", 1));
+                Wait.until("the task runs", () -> deployment.count("running") == 1);
+                deployment.changeWorker(WORKER, "unhealthy");
+                assertEquals(200, deployment.call("n1", "DELETE", JOB, null).status());
+                String scheduler = deployment.lastElected().orElseThrow();
+                Wait.until(
+                        "the stop is refused",
+                        () -> deployment.logText(scheduler).contains("STOP_FAILED"));
+                deployment.changeWorker(WORKER, "healthy");
+                Wait.until("the task is stopped", () -> deployment.count("running") == 0);
+            }
+        }
+    }
+
     @Nested
     class Failures {
 
--- a/standin/src/main/java/io/cardamomshelf/standin/platform/RunCounter.java
+++ b/standin/src/main/java/io/cardamomshelf/standin/platform/RunCounter.java
@@ -24,6 +24,10 @@
         runningByTask.merge(task, -1, Integer::sum);
     }
 
+    int running() {
+        return runningByTask.values().stream().mapToInt(Integer::intValue).sum();
+    }
+
     int starts() {
         return starts;
     }
--- a/standin/src/main/java/io/cardamomshelf/standin/platform/TaskWorkerStandin.java
+++ b/standin/src/main/java/io/cardamomshelf/standin/platform/TaskWorkerStandin.java
@@ -19,7 +19,8 @@
  * ends, and refuses calls with an old fencing token.
  *
  * <p>Use: the spec {@code ms=N} is a task's run time in milliseconds; with {@code ms=N fail} the
- * run ends as failed. The worker renews its registry entry by itself.
+ * run ends as failed. The worker renews its registry entry by itself. It can be restarted under its
+ * identifier, and made unhealthy.
  *
  * <p>Not thread-safe: call it on its event loop only.
  */
@@ -28,7 +29,12 @@
     private static final String LOOPBACK = "127.0.0.1";
     private static final int OK = 200;
     private static final int CONFLICT = 409;
+    private static final int SERVICE_UNAVAILABLE = 503;
     private static final long HEARTBEAT_INTERVAL_MILLIS = 500;
+
+    /** How long a restarted worker takes calls before it registers, in milliseconds. */
+    private static final long REGISTRATION_DELAY_MILLIS = 1_000;
+
     private static final long CHECK_INTERVAL_MILLIS = 20;
     private static final int CPU_MILLIS = 128_000;
     private static final int MEMORY_MB = 512_000;
@@ -46,7 +52,7 @@
     private final String id;
     private final String dataCentre;
     private final String rack;
-    private final long bornMillis = System.currentTimeMillis();
+    private long bornMillis = System.currentTimeMillis();
     private final Map<String, Run> running = new HashMap<>();
     private final Map<String, Long> highestRuns = new HashMap<>();
     private final List<JsonArray> unacknowledgedEnds = new ArrayList<>();
@@ -55,6 +61,8 @@
     private long leaseEndMillis;
     private long sequence;
     private int port;
+    private long registrationDelayMillis;
+    private boolean unhealthy;
 
     TaskWorkerStandin(
             Vertx vertx,
@@ -90,7 +98,29 @@
                         });
     }
 
+    /** Restarts the worker. It runs and knows nothing of before, and its clock starts again. */
+    void restart() {
+        running.keySet().forEach(counter::end);
+        running.clear();
+        highestRuns.clear();
+        unacknowledgedEnds.clear();
+        lastEndNumber = 0;
+        highestToken = 0;
+        leaseEndMillis = 0;
+        sequence = 0;
+        registrationDelayMillis = REGISTRATION_DELAY_MILLIS;
+        bornMillis = System.currentTimeMillis();
+    }
+
+    /** Sets whether the worker refuses all calls and does nothing. */
+    void setUnhealthy(boolean value) {
+        unhealthy = value;
+    }
+
     private void register() {
+        if (sequence == 0 && clock() < registrationDelayMillis) {
+            return;
+        }
         store.registerWorker(
                 id,
                 new JsonObject()
@@ -124,6 +154,11 @@
      */
     private void withFencing(
             RoutingContext context, BiConsumer<RoutingContext, JsonObject> handler) {
+        if (unhealthy) {
+            StoreStandin.answer(
+                    context, SERVICE_UNAVAILABLE, new JsonObject().put("clock_ms", clock()));
+            return;
+        }
         JsonObject body = context.body().asJsonObject();
         long presented = body.getLong("fencing_token", 0L);
         if (presented < highestToken) {
