--- a/standin/src/main/java/io/cardamomshelf/standin/platform/TaskWorkerStandin.java
+++ b/standin/src/main/java/io/cardamomshelf/standin/platform/TaskWorkerStandin.java
@@ -33,7 +33,7 @@
     private static final long HEARTBEAT_INTERVAL_MILLIS = 500;
 
     /** How long a restarted worker takes calls before it registers, in milliseconds. */
-    private static final long REGISTRATION_DELAY_MILLIS = 1_000;
+    private static final long REGISTRATION_DELAY_MILLIS = 300;
 
     private static final long CHECK_INTERVAL_MILLIS = 20;
     private static final int CPU_MILLIS = 128_000;
