--- a/node/src/test/java/io/cardamomshelf/node/schedule/SchedulingFixture.java
+++ b/node/src/test/java/io/cardamomshelf/node/schedule/SchedulingFixture.java
@@ -122,6 +122,19 @@
             return follower;
         }
 
+        /** Returns those of the jobs that it doesn't show as ended. */
+        List<JobId> unendedOf(List<JobId> jobs) {
+            return jobs.stream()
+                    .filter(
+                            id ->
+                                    candidate
+                                            .jobs()
+                                            .find(id)
+                                            .filter(entry -> entry.state().isEnded())
+                                            .isEmpty())
+                    .toList();
+        }
+
         JobState state() {
             return candidate.jobs().find(JOB).orElseThrow().state();
         }
--- a/node/src/test/java/io/cardamomshelf/node/schedule/SuccessionFuzzTest.java
+++ b/node/src/test/java/io/cardamomshelf/node/schedule/SuccessionFuzzTest.java
@@ -1,7 +1,6 @@
 package io.cardamomshelf.node.schedule;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
-import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.cardamomshelf.core.base.JobId;
 import io.cardamomshelf.core.base.WorkerId;
@@ -119,21 +118,13 @@
         store.fault = Fault.NONE;
         workers.disconnected.clear();
         time.advance(RECOVERY_MILLIS);
-        for (int i = 0; i < 10 * MAX_JOBS && !hasEnded(); i++) {
+        for (int i = 0; i < 10 * MAX_JOBS && !newestProcess.unendedOf(jobs).isEmpty(); i++) {
             finishRandomRun(RunEnd.DONE);
             time.advance(500);
         }
         time.advance(RECOVERY_MILLIS);
     }
 
-    private boolean hasEnded() {
-        return jobs.stream().allMatch(this::hasEnded);
-    }
-
-    private boolean hasEnded(JobId id) {
-        return newestProcess.candidate.jobs().find(id).filter(e -> e.state().isEnded()).isPresent();
-    }
-
     @Nested
     class RandomFaults {
 
@@ -155,11 +146,7 @@
         void causeNeitherOverlappingRunsNorUnendedJobs(long seed) {
             simulate(seed);
             assertEquals(List.of(), workers.overlaps);
-            assertTrue(
-                    hasEnded(),
-                    () ->
-                            "jobs that have not ended: "
-                                    + jobs.stream().filter(j -> !hasEnded(j)).toList());
+            assertEquals(List.of(), newestProcess.unendedOf(jobs));
             assertEquals(
                     Set.of(),
                     Set.copyOf(workers.running().values().stream().flatMap(Set::stream).toList()));
--- a/node/src/test/java/io/cardamomshelf/node/schedule/WorkerRestartFuzzTest.java
+++ b/node/src/test/java/io/cardamomshelf/node/schedule/WorkerRestartFuzzTest.java
@@ -1,7 +1,6 @@
 package io.cardamomshelf.node.schedule;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
-import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.cardamomshelf.core.base.JobId;
 import io.cardamomshelf.core.base.WorkerId;
@@ -122,21 +121,13 @@
         workers.refusing.clear();
         workers.answerDelayMillis.clear();
         time.advance(RECOVERY_MILLIS);
-        for (int i = 0; i < 10 * MAX_JOBS && !hasEnded(); i++) {
+        for (int i = 0; i < 10 * MAX_JOBS && !process.unendedOf(jobs).isEmpty(); i++) {
             finishRandomRun(false);
             time.advance(500);
         }
         time.advance(RECOVERY_MILLIS);
     }
 
-    private boolean hasEnded() {
-        return jobs.stream().allMatch(this::hasEnded);
-    }
-
-    private boolean hasEnded(JobId id) {
-        return process.candidate.jobs().find(id).filter(e -> e.state().isEnded()).isPresent();
-    }
-
     @Nested
     class RandomRestarts {
 
@@ -151,11 +142,7 @@
             assertEquals(List.of(), workers.overlaps);
             assertEquals(List.of(), workers.repeats);
             assertEquals(List.of(), workers.unreadEnds);
-            assertTrue(
-                    hasEnded(),
-                    () ->
-                            "jobs that have not ended: "
-                                    + jobs.stream().filter(j -> !hasEnded(j)).toList());
+            assertEquals(List.of(), process.unendedOf(jobs));
             assertEquals(
                     Set.of(),
                     Set.copyOf(workers.running().values().stream().flatMap(Set::stream).toList()));
