Stand-in: a restarted worker loses its connections

The platform's worker stand-in kept its connections over a restart, which no process does. A test of what reaches a new incarnation on a connection of the earlier one couldn't be written with it. PlatformSessionTest and FailureProofTest pass with it.

--- a/standin/src/main/java/io/cardamomshelf/standin/platform/TaskWorkerStandin.java
+++ b/standin/src/main/java/io/cardamomshelf/standin/platform/TaskWorkerStandin.java
@@ -4,14 +4,17 @@
 import io.vertx.core.json.JsonArray;
 import io.vertx.core.json.JsonObject;
 import io.vertx.mutiny.core.Vertx;
+import io.vertx.mutiny.core.http.HttpConnection;
 import io.vertx.mutiny.core.http.HttpServer;
 import io.vertx.mutiny.ext.web.Router;
 import io.vertx.mutiny.ext.web.RoutingContext;
 import io.vertx.mutiny.ext.web.handler.BodyHandler;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.BiConsumer;
 
 /**
@@ -56,6 +59,7 @@
     private final Map<String, Run> running = new HashMap<>();
     private final Map<String, Long> highestRuns = new HashMap<>();
     private final List<JsonArray> unacknowledgedEnds = new ArrayList<>();
+    private final Set<HttpConnection> connections = new HashSet<>();
     private long lastEndNumber;
     private long highestToken;
     private long leaseEndMillis;
@@ -87,6 +91,7 @@
         router.post("/hold").handler(context -> withFencing(context, this::renewLease));
         vertx.setPeriodic(CHECK_INTERVAL_MILLIS, timer -> endFinishedAndLapsedRuns());
         return vertx.createHttpServer()
+                .connectionHandler(this::addConnection)
                 .requestHandler(router)
                 .listen(0, LOOPBACK)
                 .map(HttpServer::actualPort)
@@ -98,8 +103,19 @@
                         });
     }
 
-    /** Restarts the worker. It runs and knows nothing of before, and its clock starts again. */
+    private void addConnection(HttpConnection connection) {
+        connections.add(connection);
+        connection.closeHandler(() -> connections.remove(connection));
+    }
+
+    /**
+     * Restarts the worker. It runs and knows nothing of before, its clock starts again, and its
+     * connections are lost.
+     */
     void restart() {
+        List<HttpConnection> lost = List.copyOf(connections);
+        connections.clear();
+        lost.forEach(HttpConnection::closeAndForget);
         running.keySet().forEach(counter::end);
         running.clear();
         highestRuns.clear();
