Acknowledge ends of runs only on the connection that brought the lists

Cause: the scheduler learns of a restart by lists, an entry or a clock that goes back. Until then the last call counted as one to the same incarnation, and the acknowledgement that fell due was sent to whoever answered at the address.

Evidence: WorkerRestartTest "areNotAcknowledgedIfTheWorkerRestartsAndEndsARunBetweenTwoCalls" failed before (the end with number 1 of the new incarnation was acknowledged unread).

Ruled out: a header that names the incarnation. X-Expected-Instance holds the identifier, which the new incarnation keeps, and no field of the call holds its time of birth. An empty call before each acknowledgement only narrows the gap, at twice the calls.

Why it works: a connection ends with its process.

The fake workers drop an acknowledgement that was under way during a restart but still report it as sent, so the tests on counting it for the wrong incarnation stay as strict.

--- a/node/src/main/java/io/cardamomshelf/node/metric/MeteredOrders.java
+++ b/node/src/main/java/io/cardamomshelf/node/metric/MeteredOrders.java
@@ -4,6 +4,7 @@
 import io.cardamomshelf.node.metric.ServiceMetrics.Name;
 import io.cardamomshelf.node.port.WorkerOrders;
 import io.smallrye.mutiny.Uni;
+import java.util.Optional;
 import java.util.OptionalLong;
 
 /**
@@ -44,17 +45,12 @@
     public Uni<RenewalReply> renewLease(
             Target target,
             OptionalLong leaseEndMillis,
-            long lastAcknowledgedEnd,
+            Optional<Acknowledgement> acknowledgement,
             long waitMillis,
             long token,
             long timeoutMillis) {
         return orders.renewLease(
-                        target,
-                        leaseEndMillis,
-                        lastAcknowledgedEnd,
-                        waitMillis,
-                        token,
-                        timeoutMillis)
+                        target, leaseEndMillis, acknowledgement, waitMillis, token, timeoutMillis)
                 .invoke(reply -> metrics.count(Name.ORDERS, "hold", reply.answer()));
     }
 }
--- a/node/src/main/java/io/cardamomshelf/node/port/WorkerOrders.java
+++ b/node/src/main/java/io/cardamomshelf/node/port/WorkerOrders.java
@@ -5,6 +5,7 @@
 import io.cardamomshelf.core.schedule.Order;
 import io.cardamomshelf.core.schedule.WorkerLists;
 import io.smallrye.mutiny.Uni;
+import java.util.Optional;
 import java.util.OptionalLong;
 
 /**
@@ -25,6 +26,20 @@
      */
     record Target(WorkerId id, Endpoint endpoint) {}
 
+    /**
+     * A connection to a worker. It is lost when the worker's process ends, so what is sent on it
+     * reaches no other incarnation. Two are equal if they are the same connection.
+     */
+    interface Connection {}
+
+    /**
+     * Acknowledges ends of runs. It is sent only on the connection that it names.
+     *
+     * @param lastEnd the number of the last end to acknowledge; it and all earlier ones are stored
+     * @param connection the connection on which the worker last returned its lists, not null
+     */
+    record Acknowledgement(long lastEnd, Connection connection) {}
+
     /** The kinds of answers to an order. */
     enum Answer {
         /** The order was carried out. */
@@ -57,6 +72,7 @@
      * @param clockMillis the worker's clock at the answer, empty if the worker didn't report it
      * @param lists the worker's runs, null unless {@code answer} is {@code DONE}
      * @param isComplete whether the lists are complete
+     * @param receipt how the lists were received, null unless {@code answer} is {@code DONE}
      * @param detail the error, not null
      */
     record RenewalReply(
@@ -64,7 +80,30 @@
             OptionalLong clockMillis,
             WorkerLists lists,
             boolean isComplete,
-            String detail) {}
+            Receipt receipt,
+            String detail) {
+
+        /**
+         * Creates the answer of a call that didn't return lists.
+         *
+         * @param answer the kind of answer, not null and not {@code DONE}
+         * @param clockMillis the worker's clock at the answer, empty if it isn't known
+         * @param detail the error, not null
+         * @return the answer, never null
+         */
+        public static RenewalReply withoutLists(
+                Answer answer, OptionalLong clockMillis, String detail) {
+            return new RenewalReply(answer, clockMillis, null, false, null, detail);
+        }
+    }
+
+    /**
+     * How a worker's lists were received.
+     *
+     * @param connection the connection that the call used, not null
+     * @param acknowledgedEnd the number of the last end that the call acknowledged, 0 for none
+     */
+    record Receipt(Connection connection, long acknowledgedEnd) {}
 
     /**
      * Starts a run.
@@ -97,8 +136,8 @@
      * @param target the worker, not null
      * @param leaseEndMillis the new end of the lease on the worker's clock, empty to grant no new
      *     lease
-     * @param lastAcknowledgedEnd the number of the last end of a run to acknowledge; it and all
-     *     earlier ones are stored
+     * @param acknowledgement the ends to acknowledge, empty for none. It is left out if the call
+     *     uses another connection than it names, as the worker may have restarted since.
      * @param waitMillis how long the worker may wait for the end of a run, in milliseconds
      * @param token the fencing token
      * @param timeoutMillis the maximum time to wait for the answer, in milliseconds
@@ -107,7 +146,7 @@
     Uni<RenewalReply> renewLease(
             Target target,
             OptionalLong leaseEndMillis,
-            long lastAcknowledgedEnd,
+            Optional<Acknowledgement> acknowledgement,
             long waitMillis,
             long token,
             long timeoutMillis);
--- a/node/src/main/java/io/cardamomshelf/node/schedule/EndAcknowledgements.java
+++ b/node/src/main/java/io/cardamomshelf/node/schedule/EndAcknowledgements.java
@@ -1,12 +1,17 @@
 package io.cardamomshelf.node.schedule;
 
+import io.cardamomshelf.node.port.WorkerOrders.Acknowledgement;
+import io.cardamomshelf.node.port.WorkerOrders.Connection;
+import java.util.Optional;
+
 /**
  * The ends of runs of a worker's current incarnation that are stored, and those that are
  * acknowledged to the worker.
  *
  * <p>A worker forgets an end once it is acknowledged, and each incarnation numbers its ends from 1.
  * So numbers of one incarnation must not reach another one, which may have ends that it hasn't
- * listed yet. An acknowledgement is only sent if the last call to the worker returned its lists.
+ * listed yet. An acknowledgement is only sent on the connection on which the last call returned the
+ * worker's lists, as a connection doesn't outlive the incarnation.
  *
  * <p>Not thread-safe: belongs to the instance's event loop.
  */
@@ -15,7 +20,7 @@
     private long bornMillis;
     private long storedNumber;
     private long acknowledgedNumber;
-    private boolean listed;
+    private Optional<Connection> listedOn = Optional.empty();
 
     EndAcknowledgements(long bornMillis) {
         this.bornMillis = bornMillis;
@@ -26,17 +31,17 @@
         bornMillis = newBornMillis;
         storedNumber = 0;
         acknowledgedNumber = 0;
-        listed = false;
+        listedOn = Optional.empty();
     }
 
-    /** Records that the incarnation has just returned its lists. */
-    void confirmListed() {
-        listed = true;
+    /** Records that the incarnation has just returned its lists on a connection. */
+    void confirmListed(Connection connection) {
+        listedOn = Optional.of(connection);
     }
 
     /** Sends no acknowledgement before the next lists, as the worker may have restarted. */
     void awaitLists() {
-        listed = false;
+        listedOn = Optional.empty();
     }
 
     /** Records that all ends of an incarnation up to this number are stored. */
@@ -63,8 +68,9 @@
         return storedNumber < lastEndNumber;
     }
 
-    /** Returns the number to acknowledge with the next call, 0 for none. */
-    long nextNumber() {
-        return listed && isDue() ? storedNumber : 0;
+    /** Returns what to acknowledge with the next call. */
+    Optional<Acknowledgement> next() {
+        return listedOn.filter(connection -> isDue())
+                .map(connection -> new Acknowledgement(storedNumber, connection));
     }
 }
--- a/node/src/main/java/io/cardamomshelf/node/schedule/WorkerLink.java
+++ b/node/src/main/java/io/cardamomshelf/node/schedule/WorkerLink.java
@@ -229,28 +229,23 @@
                         : OptionalLong.empty();
         boolean waitsForEnd = answered && leaseEndMillis.isPresent() && mayHaveRuns();
         long waitMillis = waitsForEnd ? MAX_WAIT_MILLIS : 0;
-        long acknowledgedNumber = acknowledgements.nextNumber();
         long bornMillis = info.bornMillis();
         orders.renewLease(
                         target(),
                         leaseEndMillis,
-                        acknowledgedNumber,
+                        acknowledgements.next(),
                         waitMillis,
                         token,
                         waitMillis + answerTimeoutMillis)
                 .subscribe()
-                .with(
-                        reply ->
-                                renewalAnswered(
-                                        reply, now, waitMillis, bornMillis, acknowledgedNumber));
+                .with(reply -> renewalAnswered(reply, now, waitMillis, bornMillis));
     }
 
     private void renewalAnswered(
             WorkerOrders.RenewalReply reply,
             ClockReading sentAt,
             long waitMillis,
-            long bornMillis,
-            long acknowledgedNumber) {
+            long bornMillis) {
         renewalInFlight = false;
         if (closed) {
             return;
@@ -272,8 +267,8 @@
             case DONE -> {
                 answered = true;
                 adaptAnswerTimeout(sentAt.monotonicMillis() + waitMillis);
-                acknowledgements.confirmAcknowledged(bornMillis, acknowledgedNumber);
-                acknowledgements.confirmListed();
+                acknowledgements.confirmAcknowledged(bornMillis, reply.receipt().acknowledgedEnd());
+                acknowledgements.confirmListed(reply.receipt().connection());
                 leaderLease.recordWorkerAnswer(info.id(), sentAt);
                 listsReceived(reply, sentAt.monotonicMillis());
             }
--- a/node/src/test/java/io/cardamomshelf/node/schedule/FakeWorkers.java
+++ b/node/src/test/java/io/cardamomshelf/node/schedule/FakeWorkers.java
@@ -13,6 +13,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.TreeMap;
@@ -30,8 +31,11 @@
     /** The longest lease that a worker takes, in milliseconds. */
     private static final long MAX_LEASE_MILLIS = 10_000;
 
-    /** The runs, the lease and the fencing token of one incarnation of a worker. */
-    static final class FakeWorker {
+    /**
+     * The runs, the lease and the fencing token of one incarnation of a worker, which is also the
+     * connection to it.
+     */
+    static final class FakeWorker implements Connection {
         /** The incarnation, which rises with each restart. */
         final long bornMillis;
 
@@ -234,16 +238,23 @@
     public Uni<RenewalReply> renewLease(
             Target target,
             OptionalLong leaseEndMillis,
-            long lastAcknowledgedEnd,
+            Optional<Acknowledgement> acknowledgement,
             long waitMillis,
             long token,
             long timeoutMillis) {
+        FakeWorker connection = worker(target.id().value());
+        long lastAcknowledgedEnd =
+                acknowledgement
+                        .filter(sent -> sent.connection().equals(connection))
+                        .map(Acknowledgement::lastEnd)
+                        .orElse(0L);
         acknowledgedEnds.add(lastAcknowledgedEnd);
         worker(target.id().value()).renewals++;
         worker(target.id().value()).renewedLeaseEnds.add(leaseEndMillis);
         long timeoutAtMillis = time.monotonicMillis() + timeoutMillis;
         long untilMillis = time.monotonicMillis() + waitMillis;
-        return renew(target, leaseEndMillis, lastAcknowledgedEnd, token, timeoutMillis)
+        Receipt receipt = new Receipt(connection, lastAcknowledgedEnd);
+        return renew(target, leaseEndMillis, receipt, token, timeoutMillis)
                 .chain(
                         answer ->
                                 answer.answer() == Answer.DONE
@@ -266,7 +277,7 @@
     }
 
     private static RenewalReply noAnswer() {
-        return new RenewalReply(Answer.UNKNOWN, OptionalLong.empty(), null, false, "no answer");
+        return RenewalReply.withoutLists(Answer.UNKNOWN, OptionalLong.empty(), "no answer");
     }
 
     /** Answers at the next end of a run, or after the wait; not at all if the worker restarts. */
@@ -283,6 +294,7 @@
                                     clock(worker),
                                     lists(worker),
                                     true,
+                                    first.receipt(),
                                     first.detail()));
         }
         return Uni.createFrom()
@@ -296,7 +308,7 @@
     private Uni<RenewalReply> renew(
             Target target,
             OptionalLong leaseEndMillis,
-            long lastAcknowledgedEnd,
+            Receipt sent,
             long token,
             long timeoutMillis) {
         return call(
@@ -305,21 +317,28 @@
                 noAnswer(),
                 worker -> {
                     if (refusing.contains(target.id())) {
-                        return new RenewalReply(
-                                Answer.REFUSED, clock(worker), null, false, "status 503");
+                        return RenewalReply.withoutLists(
+                                Answer.REFUSED, clock(worker), "status 503");
                     }
                     if (replaced.contains(target.id())) {
-                        return new RenewalReply(
-                                Answer.OTHER_INCARNATION, clock(worker), null, false, "status 421");
+                        return RenewalReply.withoutLists(
+                                Answer.OTHER_INCARNATION, clock(worker), "status 421");
                     }
                     if (token < worker.highestToken) {
-                        return new RenewalReply(
-                                Answer.FENCED, clock(worker), null, false, "fenced");
+                        return RenewalReply.withoutLists(Answer.FENCED, clock(worker), "fenced");
                     }
                     worker.highestToken = token;
                     leaseEndMillis.ifPresent(end -> extendLease(worker, end));
-                    acknowledgeEnds(worker, lastAcknowledgedEnd);
-                    return new RenewalReply(Answer.DONE, clock(worker), lists(worker), true, "");
+                    if (sent.connection().equals(worker)) {
+                        acknowledgeEnds(worker, sent.acknowledgedEnd());
+                    }
+                    return new RenewalReply(
+                            Answer.DONE,
+                            clock(worker),
+                            lists(worker),
+                            true,
+                            new Receipt(worker, sent.acknowledgedEnd()),
+                            "");
                 });
     }
 
--- a/node/src/test/java/io/cardamomshelf/node/schedule/NodeLinks.java
+++ b/node/src/test/java/io/cardamomshelf/node/schedule/NodeLinks.java
@@ -81,22 +81,17 @@
     public Uni<RenewalReply> renewLease(
             Target target,
             OptionalLong leaseEndMillis,
-            long lastAcknowledgedEnd,
+            Optional<Acknowledgement> acknowledgement,
             long waitMillis,
             long token,
             long timeoutMillis) {
         return disconnectedWorkers.contains(target.id())
                 ? answerAfter(
                         timeoutMillis,
-                        new RenewalReply(
-                                Answer.UNKNOWN, OptionalLong.empty(), null, false, "disconnected"))
+                        RenewalReply.withoutLists(
+                                Answer.UNKNOWN, OptionalLong.empty(), "disconnected"))
                 : workers.renewLease(
-                        target,
-                        leaseEndMillis,
-                        lastAcknowledgedEnd,
-                        waitMillis,
-                        token,
-                        timeoutMillis);
+                        target, leaseEndMillis, acknowledgement, waitMillis, token, timeoutMillis);
     }
 
     private static Reply noReply() {
--- a/node/src/test/java/io/cardamomshelf/node/schedule/WorkerRestartTest.java
+++ b/node/src/test/java/io/cardamomshelf/node/schedule/WorkerRestartTest.java
@@ -223,6 +223,32 @@
             time.advance(3_000);
             assertEquals(List.of(), workers.unreadEnds);
         }
+
+        /** Guards against acknowledging an end that a restarted worker had between two calls. */
+        @Test
+        void areNotAcknowledgedIfTheWorkerRestartsAndEndsARunBetweenTwoCalls() {
+            lead();
+            submit(2, false);
+            time.advance(500);
+            store.appendMillis = 100;
+            workers.finish("w1", TASK, RunEnd.DONE);
+            while (workers.starts.size() < 2) {
+                time.advance(1);
+            }
+            workers.restart("w1");
+            workers.answerDelayMillis.put(WorkerId.of("w1"), 300L);
+            TaskId next = TaskId.of(JOB, 0, 0, 1);
+            while (!workers.isRunning(next)) {
+                time.advance(1);
+            }
+            workers.finish("w1", next, RunEnd.DONE);
+            time.advance(1_000);
+            register("w1");
+            time.advance(5_000);
+            assertEquals(List.of(), workers.unreadEnds);
+            assertEquals(List.of(), workers.repeats);
+            assertEquals(2, workers.starts.size());
+        }
     }
 
     /** Answers and entries of an incarnation that arrive after the next one is known. */
