--- a/node/src/test/java/io/cardamomshelf/node/schedule/WorkerRestartFuzzTest.java
+++ b/node/src/test/java/io/cardamomshelf/node/schedule/WorkerRestartFuzzTest.java
@@ -34,6 +34,10 @@
     private final List<JobId> jobs = new ArrayList<>();
     private Random random;
     private Process process;
+    private int processCount;
+
+    /** Whether schedulers are replaced too. */
+    private boolean replacesSchedulers;
 
     private void simulate(long seed) {
         random = new Random(seed);
@@ -41,12 +45,16 @@
         if (random.nextBoolean()) {
             reportWorkerClocks();
         }
-        process = new Process("one");
+        process = new Process("p" + processCount++);
         time.advance(4_000);
         long endMillis = time.monotonicMillis() + SIMULATED_MILLIS;
         while (time.monotonicMillis() < endMillis) {
             time.advance(random.nextInt(400));
-            performRandomAction();
+            if (replacesSchedulers && random.nextInt(16) == 0) {
+                replaceScheduler();
+            } else {
+                performRandomAction();
+            }
         }
         recover();
     }
@@ -101,6 +109,16 @@
         time.after(registrationDelayMillis, () -> register(worker));
     }
 
+    /** Starts a new process. The old one may go on without connections and must not interfere. */
+    private void replaceScheduler() {
+        switch (random.nextInt(3)) {
+            case 0 -> process.links.disconnectAll(WORKERS);
+            case 1 -> process.links.disconnectStore();
+            default -> process.candidate.resign().subscribe().with(done -> {});
+        }
+        process = new Process("p" + processCount++);
+    }
+
     private static void toggle(Set<WorkerId> workers, WorkerId id) {
         if (!workers.remove(id)) {
             workers.add(id);
@@ -128,9 +146,37 @@
         time.advance(RECOVERY_MILLIS);
     }
 
+    private void assertEachTaskRanOnceAndNoneIsLeft() {
+        assertEquals(List.of(), workers.overlaps);
+        assertEquals(List.of(), workers.repeats);
+        assertEquals(List.of(), workers.unreadEnds);
+        assertEquals(List.of(), process.unendedOf(jobs));
+        assertEquals(
+                Set.of(),
+                Set.copyOf(workers.running().values().stream().flatMap(Set::stream).toList()));
+        for (String worker : WORKERS) {
+            assertEquals(List.of(), workers.worker(worker).ended);
+        }
+    }
+
     @Nested
     class RandomRestarts {
 
+        /**
+         * Guards against ends that a later scheduler doesn't know of, or counts for another run.
+         */
+        @ParameterizedTest
+        @ValueSource(
+                longs = {
+                    101, 102, 103, 104, 105, 106, 107, 108, 109, 110, 111, 112, 113, 114, 115, 116,
+                    117, 118, 119, 120
+                })
+        void besideChangesOfTheSchedulerCauseNeither(long seed) {
+            replacesSchedulers = true;
+            simulate(seed);
+            assertEachTaskRanOnceAndNoneIsLeft();
+        }
+
         @ParameterizedTest
         @ValueSource(
                 longs = {
@@ -139,16 +185,7 @@
                 })
         void causeNoTaskToRunTwiceAndLeaveNoneBehind(long seed) {
             simulate(seed);
-            assertEquals(List.of(), workers.overlaps);
-            assertEquals(List.of(), workers.repeats);
-            assertEquals(List.of(), workers.unreadEnds);
-            assertEquals(List.of(), process.unendedOf(jobs));
-            assertEquals(
-                    Set.of(),
-                    Set.copyOf(workers.running().values().stream().flatMap(Set::stream).toList()));
-            for (String worker : WORKERS) {
-                assertEquals(List.of(), workers.worker(worker).ended);
-            }
+            assertEachTaskRanOnceAndNoneIsLeft();
         }
     }
 }
