--- a/node/src/main/java/io/cardamomshelf/node/schedule/WorkerLink.java
+++ b/node/src/main/java/io/cardamomshelf/node/schedule/WorkerLink.java
@@ -10,13 +10,14 @@
 import io.cardamomshelf.core.schedule.WorkerLists;
 import io.cardamomshelf.core.schedule.WorkerReports;
 import io.cardamomshelf.node.Clock;
-import io.cardamomshelf.node.Timers;
 import io.cardamomshelf.node.event.EventLog;
 import io.cardamomshelf.node.event.NodeEvent;
 import io.cardamomshelf.node.metric.ServiceMetrics;
 import io.cardamomshelf.node.metric.ServiceMetrics.Name;
 import io.cardamomshelf.node.port.WorkerOrders;
+import io.cardamomshelf.node.port.WorkerOrders.Acknowledgement;
 import io.cardamomshelf.node.port.WorkerOrders.Answer;
+import java.util.Optional;
 import java.util.OptionalLong;
 
 /**
@@ -74,15 +75,17 @@
     /** The pause before a failed call is repeated, in milliseconds. */
     private static final long RETRY_PAUSE_MILLIS = 250;
 
-    /** The pause before a renewal while ends of runs aren't stored yet, in milliseconds. */
-    private static final long UNSTORED_ENDS_PAUSE_MILLIS = 300;
+    /**
+     * The pause before a renewal while ends of runs can't be acknowledged, in milliseconds. Until
+     * they are, a worker answers at once.
+     */
+    private static final long UNACKNOWLEDGED_ENDS_PAUSE_MILLIS = 300;
 
     /** The pause between calls that grant no lease but renew the leader lease, in milliseconds. */
     private static final long NO_GRANT_PAUSE_MILLIS = 500;
 
     private static final int UNRESPONSIVE_AFTER_FAILURES = 2;
 
-    private final Timers timers;
     private final WorkerOrders orders;
     private final SchedulerState state;
     private final Clock clock;
@@ -94,13 +97,19 @@
     private final LeaseClock leaseClock;
     private final OrderSender orderSender;
     private final LeaderLease leaderLease;
+
+    /**
+     * Delays the next renewal. Without it, a worker whose calls fail or that answers without
+     * waiting would be called again at once.
+     */
+    private final Pause pause;
+
     private WorkerInfo info;
     private final EndAcknowledgements acknowledgements;
     private long answerTimeoutMillis = ANSWER_TIMEOUT_MILLIS;
     private int consecutiveFailures;
     private boolean answered;
     private boolean renewalInFlight;
-    private boolean paused;
     private boolean closed;
 
     WorkerLink(
@@ -109,7 +118,7 @@
             Callbacks callbacks,
             WorkerInfo info,
             long inheritedUntilMillis) {
-        this.timers = context.timers();
+        this.pause = new Pause(context.timers(), this::renewIfNeeded);
         this.orders = context.orders();
         this.clock = context.clock();
         this.metrics = context.metrics();
@@ -151,14 +160,14 @@
     /** Acknowledges the received ends with the next renewal, as they are stored now. */
     void confirmEndsStored(WorkerReports.ReceivedEnds ends) {
         acknowledgements.confirmStored(ends.bornMillis(), ends.lastNumber());
-        paused = false;
+        pause.end();
         renewIfNeeded();
     }
 
     /** Sends a renewal if one is needed and none is in flight. */
     @Override
     public void renewIfNeeded() {
-        if (!renewalInFlight && !paused && !closed && needsRenewal()) {
+        if (!renewalInFlight && !pause.isActive() && !closed && needsRenewal()) {
             renew();
         }
     }
@@ -230,29 +239,34 @@
         boolean waitsForEnd = answered && leaseEndMillis.isPresent() && mayHaveRuns();
         long waitMillis = waitsForEnd ? MAX_WAIT_MILLIS : 0;
         long bornMillis = info.bornMillis();
+        Optional<Acknowledgement> acknowledgement = acknowledgements.next();
         orders.renewLease(
                         target(),
                         leaseEndMillis,
-                        acknowledgements.next(),
+                        acknowledgement,
                         waitMillis,
                         token,
                         waitMillis + answerTimeoutMillis)
                 .subscribe()
-                .with(reply -> renewalAnswered(reply, now, waitMillis, bornMillis));
+                .with(
+                        reply ->
+                                renewalAnswered(
+                                        reply, now, waitMillis, bornMillis, acknowledgement));
     }
 
     private void renewalAnswered(
             WorkerOrders.RenewalReply reply,
             ClockReading sentAt,
             long waitMillis,
-            long bornMillis) {
+            long bornMillis,
+            Optional<Acknowledgement> acknowledgement) {
         renewalInFlight = false;
         if (closed) {
             return;
         }
         if (reply.answer() == Answer.DONE) {
             if (reply.lists().bornMillis() < info.bornMillis()) {
-                pause(RETRY_PAUSE_MILLIS);
+                pause.begin(RETRY_PAUSE_MILLIS);
                 return;
             }
             if (reply.lists().bornMillis() > info.bornMillis()) {
@@ -270,7 +284,9 @@
                 acknowledgements.confirmAcknowledged(bornMillis, reply.receipt().acknowledgedEnd());
                 acknowledgements.confirmListed(reply.receipt().connection());
                 leaderLease.recordWorkerAnswer(info.id(), sentAt);
-                listsReceived(reply, sentAt.monotonicMillis());
+                boolean leftOut =
+                        acknowledgement.isPresent() && reply.receipt().acknowledgedEnd() == 0;
+                listsReceived(reply, sentAt.monotonicMillis(), leftOut);
             }
             case FENCED -> callbacks.fenced(info);
             case OTHER_INCARNATION -> otherIncarnationAnswered();
@@ -292,10 +308,11 @@
         consecutiveFailures++;
         state.setUnresponsive(info.id(), true);
         declareRunsLost("another incarnation answers at its address", Long.MAX_VALUE);
-        pause(RETRY_PAUSE_MILLIS);
+        pause.begin(RETRY_PAUSE_MILLIS);
     }
 
-    private void listsReceived(WorkerOrders.RenewalReply reply, long sentMillis) {
+    private void listsReceived(
+            WorkerOrders.RenewalReply reply, long sentMillis, boolean acknowledgementLeftOut) {
         if (consecutiveFailures >= UNRESPONSIVE_AFTER_FAILURES) {
             EventLog.of(NodeEvent.WORKER_ANSWERS).with("worker", info.id()).write();
         }
@@ -304,11 +321,11 @@
         logEnds(lists);
         state.updateRuns(info.id(), lists, sentMillis, reply.isComplete(), clock.now());
         callbacks.stateChanged();
-        if (acknowledgements.hasUnstored(lastEndNumber())) {
-            pause(UNSTORED_ENDS_PAUSE_MILLIS);
+        if (acknowledgementLeftOut || acknowledgements.hasUnstored(lastEndNumber())) {
+            pause.begin(UNACKNOWLEDGED_ENDS_PAUSE_MILLIS);
         } else if (leaderLease.needsWorkerAnswers(clock.now())
                 && !(callbacks.mayGrant() && mayHaveRuns())) {
-            pause(NO_GRANT_PAUSE_MILLIS);
+            pause.begin(NO_GRANT_PAUSE_MILLIS);
         } else {
             renewIfNeeded();
         }
@@ -343,7 +360,7 @@
         if (consecutiveFailures >= UNRESPONSIVE_AFTER_FAILURES && haveLeasesLapsed()) {
             declareRunsLost("its leases have lapsed", clock.monotonicMillis() - worstLeaseMillis());
         }
-        pause(RETRY_PAUSE_MILLIS);
+        pause.begin(RETRY_PAUSE_MILLIS);
     }
 
     private void declareRunsLost(String cause, long unansweredBeforeMillis) {
@@ -373,20 +390,6 @@
         return state.mayHaveRuns(info.id());
     }
 
-    /**
-     * Delays the next renewal. Without a pause, a worker whose calls fail or that answers without
-     * waiting would be called again at once. It doesn't wait while it has unacknowledged ends.
-     */
-    private void pause(long millis) {
-        paused = true;
-        timers.after(
-                millis,
-                () -> {
-                    paused = false;
-                    renewIfNeeded();
-                });
-    }
-
     /** Makes renewals of a removed worker unnecessary. They resume once it registers again. */
     private void resetRenewalState() {
         consecutiveFailures = 0;
--- a/node/src/test/java/io/cardamomshelf/node/schedule/FakeWorkers.java
+++ b/node/src/test/java/io/cardamomshelf/node/schedule/FakeWorkers.java
@@ -83,6 +83,9 @@
     /** How much later a worker carries out each call, in milliseconds; it answers none of these. */
     final Map<WorkerId, Long> lateMillis = new HashMap<>();
 
+    /** Workers that close each connection after a call. */
+    final Set<WorkerId> closingConnections = new HashSet<>();
+
     /** Workers at whose address another incarnation answers. */
     final Set<WorkerId> replaced = new HashSet<>();
 
@@ -245,6 +248,7 @@
         FakeWorker connection = worker(target.id().value());
         long lastAcknowledgedEnd =
                 acknowledgement
+                        .filter(sent -> !closingConnections.contains(target.id()))
                         .filter(sent -> sent.connection().equals(connection))
                         .map(Acknowledgement::lastEnd)
                         .orElse(0L);
--- a/node/src/test/java/io/cardamomshelf/node/schedule/WorkerRestartTest.java
+++ b/node/src/test/java/io/cardamomshelf/node/schedule/WorkerRestartTest.java
@@ -224,6 +224,20 @@
             assertEquals(List.of(), workers.unreadEnds);
         }
 
+        /** Guards against calls without a pause while no acknowledgement can be sent. */
+        @Test
+        void areAskedForAtIntervalsIfTheWorkerClosesItsConnections() {
+            startTask();
+            workers.closingConnections.add(WorkerId.of("w1"));
+            workers.finish("w1", TASK, RunEnd.DONE);
+            int renewals = workers.worker("w1").renewals;
+            time.advance(3_000);
+            assertTrue(workers.worker("w1").renewals - renewals <= 12);
+            workers.closingConnections.clear();
+            time.advance(1_000);
+            assertEquals(List.of(), workers.worker("w1").ended);
+        }
+
         /** Guards against acknowledging an end that a restarted worker had between two calls. */
         @Test
         void areNotAcknowledgedIfTheWorkerRestartsAndEndsARunBetweenTwoCalls() {
