Don't repeat a start whose connection was lost

Cause: a start was carried out and its run ended as done, then the worker's process ended and the connection of the unanswered start with it. The start was repeated at once, with the same run number, and the new incarnation took it: the run of one number ended twice, on two incarnations.

WorkerRestartTest "areNotRepeatedIfTheirConnectionWasLost" failed before (2 starts of one number instead of 1).

Ruled out: acknowledgements, as no end was forgotten that its own incarnation hadn't listed. After a timeout the repeat stays, as the connection wasn't lost; a worker that ends without a sign on its connections and is back within 0.7 s can still get one.

Why it works: a lost connection is the sign of a process that ended. The run is stopped, which the new incarnation remembers, and its task is started with the next number. A task whose end was lost with its worker runs again, as before.

--- a/node/src/main/java/io/cardamomshelf/node/port/WorkerOrders.java
+++ b/node/src/main/java/io/cardamomshelf/node/port/WorkerOrders.java
@@ -53,7 +53,12 @@
         /** Another incarnation of the worker answered, and carried nothing out. */
         OTHER_INCARNATION,
         /** There was no answer; the order may have been carried out, or may be later. */
-        UNKNOWN
+        UNKNOWN,
+        /**
+         * The connection was lost before the answer, perhaps with the worker's process. The order
+         * may have been carried out.
+         */
+        CONNECTION_LOST
     }
 
     /**
--- a/node/src/main/java/io/cardamomshelf/node/schedule/OrderSender.java
+++ b/node/src/main/java/io/cardamomshelf/node/schedule/OrderSender.java
@@ -14,8 +14,10 @@
 /**
  * Sends starts and stops of runs to one worker, and reports the outcomes to the scheduler state.
  *
- * <p>A start that got no answer is repeated once. A stop is repeated until the worker has carried
- * it out, also if it was refused, as an unhealthy worker refuses calls without doing anything.
+ * <p>A start that got no answer in time is repeated once. One whose connection was lost isn't: the
+ * worker may have restarted, and the new incarnation would take a run that may have ended on the
+ * earlier one. A stop is repeated until the worker has carried it out, also if it was refused, as
+ * an unhealthy worker refuses calls without doing anything.
  *
  * <p>Use: {@link WorkerLink} has one sender, and implements {@link Worker} for it.
  *
@@ -156,9 +158,10 @@
      * another kind, nor once its run was given up.
      */
     private boolean mayRepeat(Order.Start start, int attempt, long bornMillis, Answer answer) {
-        boolean failed = answer == Answer.UNKNOWN || answer == Answer.TOO_LATE;
+        boolean failed = mayHaveBeenCarriedOut(answer) || answer == Answer.TOO_LATE;
         return failed
-                && state.handleFailedStart(start, answer == Answer.UNKNOWN, clock.now())
+                && state.handleFailedStart(start, mayHaveBeenCarriedOut(answer), clock.now())
+                && answer != Answer.CONNECTION_LOST
                 && bornMillis == worker.bornMillis()
                 && attempt < MAX_START_ATTEMPTS
                 && worker.mayGrant();
@@ -169,12 +172,16 @@
         if (answer == Answer.DONE) {
             return SchedulerState.StartOutcome.STARTED;
         }
-        boolean certainlyNotStarted = answer != Answer.UNKNOWN && attempt == 1;
+        boolean certainlyNotStarted = !mayHaveBeenCarriedOut(answer) && attempt == 1;
         return certainlyNotStarted
                 ? SchedulerState.StartOutcome.REFUSED
                 : SchedulerState.StartOutcome.UNKNOWN;
     }
 
+    private static boolean mayHaveBeenCarriedOut(Answer answer) {
+        return answer == Answer.UNKNOWN || answer == Answer.CONNECTION_LOST;
+    }
+
     private void logStartFailure(Order.Start start, int attempt, WorkerOrders.Reply reply) {
         EventLog.of(NodeEvent.START_FAILED)
                 .with("task", start.task())
@@ -203,7 +210,7 @@
                 state.confirmStopOrder(stop, clock.now());
                 worker.renewIfNeeded();
             }
-            case REFUSED, TOO_LATE, UNKNOWN -> stopFailed(stop, attempt, reply);
+            case REFUSED, TOO_LATE, UNKNOWN, CONNECTION_LOST -> stopFailed(stop, attempt, reply);
             default -> throw new IllegalStateException("answer: " + reply.answer());
         }
     }
--- a/node/src/test/java/io/cardamomshelf/node/schedule/FakeWorkers.java
+++ b/node/src/test/java/io/cardamomshelf/node/schedule/FakeWorkers.java
@@ -71,6 +71,9 @@
     final Set<WorkerId> disconnected = new HashSet<>();
     final Set<WorkerId> losingAnswers = new HashSet<>();
 
+    /** Workers that carry out orders, and lose the connection before the answer. */
+    final Set<WorkerId> losingConnections = new HashSet<>();
+
     /** Workers that refuse all calls and do nothing. */
     final Set<WorkerId> refusing = new HashSet<>();
 
@@ -178,10 +181,16 @@
         return call(
                 target,
                 timeoutMillis,
-                new Reply(Answer.UNKNOWN, OptionalLong.empty(), "no answer"),
+                noReply(target),
                 worker -> start(target, worker, start, leaseEndMillis, token));
     }
 
+    private Reply noReply(Target target) {
+        Answer answer =
+                losingConnections.contains(target.id()) ? Answer.CONNECTION_LOST : Answer.UNKNOWN;
+        return new Reply(answer, OptionalLong.empty(), "no answer");
+    }
+
     private Reply start(
             Target target, FakeWorker worker, Order.Start start, long leaseEndMillis, long token) {
         if (token < worker.highestToken) {
@@ -217,7 +226,7 @@
         return call(
                 target,
                 timeoutMillis,
-                new Reply(Answer.UNKNOWN, OptionalLong.empty(), "no answer"),
+                noReply(target),
                 worker -> {
                     if (refusing.contains(target.id())) {
                         return reply(worker, Answer.REFUSED);
@@ -399,6 +408,12 @@
                                                 return;
                                             }
                                             T answer = action.apply(worker(target.id().value()));
+                                            if (losingConnections.contains(target.id())) {
+                                                time.after(
+                                                        ONE_WAY_DELAY_MILLIS,
+                                                        () -> emitter.complete(noAnswer));
+                                                return;
+                                            }
                                             long delayMillis =
                                                     ONE_WAY_DELAY_MILLIS
                                                             + answerDelayMillis.getOrDefault(
--- a/node/src/test/java/io/cardamomshelf/node/schedule/WorkerRestartTest.java
+++ b/node/src/test/java/io/cardamomshelf/node/schedule/WorkerRestartTest.java
@@ -98,6 +98,26 @@
             assertEquals(1, workers.starts.stream().filter(start -> start.run() == run).count());
         }
 
+        /** Guards against a second run with the number of one that ended with its worker. */
+        @Test
+        void areNotRepeatedIfTheirConnectionWasLost() {
+            lead();
+            workers.losingConnections.add(worker);
+            submit(1, false);
+            while (!workers.isRunning(TASK)) {
+                time.advance(1);
+            }
+            workers.finish("w1", TASK, RunEnd.DONE);
+            workers.restart("w1");
+            time.advance(2);
+            workers.losingConnections.clear();
+            time.advance(1_000);
+            register("w1");
+            assertRunsOnce();
+            long run = workers.starts.get(0).run();
+            assertEquals(1, workers.starts.stream().filter(start -> start.run() == run).count());
+        }
+
         /** Guards against a start that the new incarnation carries out late. */
         @Test
         void thatTheNewIncarnationCarriesOutLateDoNotRunBesideAnotherOne() {
