--- a/node/src/test/java/io/cardamomshelf/node/schedule/WorkerRestartFuzzTest.java
+++ b/node/src/test/java/io/cardamomshelf/node/schedule/WorkerRestartFuzzTest.java
@@ -50,8 +50,13 @@
         long endMillis = time.monotonicMillis() + SIMULATED_MILLIS;
         while (time.monotonicMillis() < endMillis) {
             time.advance(random.nextInt(400));
-            if (replacesSchedulers && random.nextInt(16) == 0) {
+            int choice = replacesSchedulers ? random.nextInt(16) : -1;
+            if (choice == 0) {
                 replaceScheduler();
+            } else if (choice == 1) {
+                toggle(
+                        workers.losingConnections,
+                        WorkerId.of(WORKERS[random.nextInt(WORKERS.length)]));
             } else {
                 performRandomAction();
             }
@@ -136,6 +141,7 @@
         store.fault = Fault.NONE;
         workers.disconnected.clear();
         workers.losingAnswers.clear();
+        workers.losingConnections.clear();
         workers.refusing.clear();
         workers.answerDelayMillis.clear();
         time.advance(RECOVERY_MILLIS);
