Tests: a refused submission is sent again

Cause: the test ignored the answer to its submission. A 503 says that the job wasn't accepted, and a caller sends it again; the job of this test never existed.

The tests that ignored the answer now submit until the job is accepted. What they assert is unchanged, and a job that is never accepted fails under its own name.

--- a/sessions/src/test/java/io/cardamomshelf/sessions/PlatformSessionTest.java
+++ b/sessions/src/test/java/io/cardamomshelf/sessions/PlatformSessionTest.java
@@ -18,6 +18,8 @@
 /** Tests the service and the platform's stand-ins as separate processes. */
 class PlatformSessionTest {
 
+    private static final int OK = 200;
+
     private static final String JOB = "00000000000000b1";
 
     private static String body(String spec, int count) {
@@ -42,6 +44,13 @@
         return name.equals("n1") ? "n2" : "n1";
     }
 
+    /** Submits the job, again if it is refused, as an instance does that isn't current yet. */
+    private static void submit(PlatformDeployment deployment, String body) throws SessionException {
+        Wait.until(
+                "the job is accepted",
+                () -> deployment.call("n1", "POST", JOB, body).status() == OK);
+    }
+
     private static void awaitState(PlatformDeployment deployment, String instance, String state)
             throws SessionException {
         Wait.until(
@@ -76,7 +85,7 @@
             try (PlatformDeployment deployment = PlatformDeployment.start(folder, 1)) {
                 startTwoInstances(deployment);
                 deployment.changeWorker(WORKER, "restart");
-                deployment.call("n1", "POST", JOB, body("ms=3000", 1));
+                submit(deployment, body("ms=3000", 1));
                 awaitState(deployment, "n1", "completed");
                 assertEquals(1, deployment.count("starts"));
                 assertEquals(0, deployment.count("overlaps"));
@@ -87,7 +96,7 @@
         void restartedWorkerRunsTheTaskThatItLost(@TempDir Path folder) throws SessionException {
             try (PlatformDeployment deployment = PlatformDeployment.start(folder, 1)) {
                 startTwoInstances(deployment);
-                deployment.call("n1", "POST", JOB, body("ms=3000", 1));
+                submit(deployment, body("ms=3000", 1));
                 Wait.until("the task runs", () -> deployment.count("running") == 1);
                 deployment.changeWorker(WORKER, "restart");
                 awaitState(deployment, "n1", "completed");
@@ -102,7 +111,7 @@
                 throws SessionException {
             try (PlatformDeployment deployment = PlatformDeployment.start(folder, 1)) {
                 startTwoInstances(deployment);
-                deployment.call("n1", "POST", JOB, body("ms=60000", 1));
+                submit(deployment, body("ms=60000", 1));
                 Wait.until("the task runs", () -> deployment.count("running") == 1);
                 deployment.changeWorker(WORKER, "unhealthy");
                 assertEquals(200, deployment.call("n1", "DELETE", JOB, null).status());
@@ -176,7 +185,7 @@
                 throws SessionException {
             try (PlatformDeployment deployment = PlatformDeployment.start(folder, 2)) {
                 startTwoInstances(deployment);
-                deployment.call("n1", "POST", JOB, body("ms=10", 1));
+                submit(deployment, body("ms=10", 1));
                 awaitState(deployment, "n1", "completed");
                 deployment.setStoreFault("expire");
                 String second = otherInstance(deployment.lastElected().orElseThrow());
@@ -259,7 +268,7 @@
                                     .status();
                     assertTrue(status == 400 || status == 404, path + " " + status);
                 }
-                deployment.call("n1", "POST", JOB, body("ms=10", 1));
+                submit(deployment, body("ms=10", 1));
                 awaitState(deployment, "n2", "completed");
                 assertFalse(deployment.logText("n1").contains("ERROR"));
                 assertFalse(deployment.logText("n1").contains("UNEXPECTED_ERROR"));
@@ -271,7 +280,7 @@
                 throws SessionException {
             try (PlatformDeployment deployment = PlatformDeployment.start(folder, 4)) {
                 startTwoInstances(deployment);
-                deployment.call("n1", "POST", JOB, body("ms=10 fail", 1));
+                submit(deployment, body("ms=10 fail", 1));
                 awaitState(deployment, "n1", "failed");
                 assertEquals(3, deployment.count("starts"));
             }
