Logs: show whether free accelerators are usable, and what stops cost a job

FLEET_LOAD counted accelerators alone. It now gives the free memory and the workers without a run beside them.

JOB_ENDED counted stops. stoppedRunMillis sums the age of the runs that were stopped, which tells a job that lost little from one that was worn out.

--- a/core/src/main/java/io/cardamomshelf/core/schedule/FleetLoad.java
+++ b/core/src/main/java/io/cardamomshelf/core/schedule/FleetLoad.java
@@ -10,25 +10,31 @@
  * The use of the accelerators of the registered workers, and the demand that waits for them.
  *
  * <p>Use: {@code SchedulerState.load(now)} after a round. If work waits although {@code free} is
- * much higher than {@code held}, it waits for something other than capacity.
+ * much higher than {@code held}, it waits for something other than capacity. Free accelerators are
+ * of no use to it if they are on workers whose memory or cores are in use; free memory and idle
+ * workers show that.
  *
  * <p>Immutable and thread-safe.
  *
  * @param accelerators those of all workers that accept starts
  * @param free those of them that no run uses
- * @param held the free ones that the last round held or reserved for waiting work
+ * @param freeMemoryMb the memory of these workers that no run uses, in megabytes
+ * @param idleWorkers those of these workers that have no run
+ * @param held the free accelerators that the last round held or reserved for waiting work
  * @param running the accelerators of runs that aren't being stopped, by priority of their queue
  * @param waiting the accelerators of tasks that could start now, by priority of their queue
  */
 public record FleetLoad(
         int accelerators,
         int free,
+        long freeMemoryMb,
+        int idleWorkers,
         int held,
         Map<Integer, Integer> running,
         Map<Integer, Integer> waiting) {
 
     /** The load of no workers. */
-    public static final FleetLoad NONE = new FleetLoad(0, 0, 0, Map.of(), Map.of());
+    public static final FleetLoad NONE = new FleetLoad(0, 0, 0, 0, 0, Map.of(), Map.of());
 
     /** Creates a load. */
     public FleetLoad {
@@ -40,11 +46,15 @@
             SchedulerState state, Collection<LiveJob> jobs, int held, ClockReading now) {
         int accelerators = 0;
         int free = 0;
+        long freeMemoryMb = 0;
+        int idleWorkers = 0;
         Map<Integer, Integer> running = new HashMap<>();
         for (WorkerState worker : state.workers()) {
             if (worker.acceptsStarts(now.monotonicMillis())) {
                 accelerators += worker.info().capacity().accelerators();
                 free += Math.max(0, worker.free().accelerators());
+                freeMemoryMb += Math.max(0, worker.free().memoryMb());
+                idleWorkers += worker.isIdle() ? 1 : 0;
             }
             for (Run run : worker.runs()) {
                 if (!run.isBeingStopped()) {
@@ -53,7 +63,8 @@
                 }
             }
         }
-        return new FleetLoad(accelerators, free, held, running, waiting(state, jobs));
+        return new FleetLoad(
+                accelerators, free, freeMemoryMb, idleWorkers, held, running, waiting(state, jobs));
     }
 
     private static Map<Integer, Integer> waiting(SchedulerState state, Collection<LiveJob> jobs) {
--- a/core/src/test/java/io/cardamomshelf/core/schedule/FleetLoadTest.java
+++ b/core/src/test/java/io/cardamomshelf/core/schedule/FleetLoadTest.java
@@ -1,5 +1,6 @@
 package io.cardamomshelf.core.schedule;
 
+import static io.cardamomshelf.core.schedule.SchedulerFixture.WORKER_CAPACITY;
 import static io.cardamomshelf.core.schedule.SchedulerFixture.step;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
@@ -25,6 +26,8 @@
             FleetLoad load = fixture.state.load(fixture.now());
             assertEquals(16, load.accelerators());
             assertEquals(6, load.free());
+            assertEquals(2 * WORKER_CAPACITY.memoryMb() - 2_000, load.freeMemoryMb());
+            assertEquals(0, load.idleWorkers());
             assertEquals(Map.of(1, 4, 2, 6), load.running());
             assertEquals(Map.of(1, 16), load.waiting());
         }
@@ -51,6 +54,7 @@
             fixture.decide();
             FleetLoad load = fixture.state.load(fixture.now());
             assertEquals(16, load.free());
+            assertEquals(2, load.idleWorkers());
             assertEquals(0, load.held());
             assertEquals(Map.of(), load.waiting());
         }
--- a/node/src/main/java/io/cardamomshelf/node/schedule/JobReporter.java
+++ b/node/src/main/java/io/cardamomshelf/node/schedule/JobReporter.java
@@ -4,6 +4,7 @@
 import io.cardamomshelf.core.base.WorkerId;
 import io.cardamomshelf.core.schedule.Order;
 import io.cardamomshelf.core.task.JobState;
+import io.cardamomshelf.core.task.TaskId;
 import io.cardamomshelf.core.task.TaskJob;
 import io.cardamomshelf.node.event.EventLog;
 import io.cardamomshelf.node.event.NodeEvent;
@@ -39,6 +40,12 @@
         private final Set<Long> spreadRuns = new HashSet<>();
 
         private final Map<Order.StopReason, Integer> stops = new EnumMap<>(Order.StopReason.class);
+
+        /** When the latest run of each task was ordered. */
+        private final Map<TaskId, Long> orderedMillis = new HashMap<>();
+
+        /** The summed age of the stopped runs. */
+        private long stoppedRunMillis;
     }
 
     private final ServiceMetrics metrics;
@@ -56,6 +63,7 @@
             totals.firstStartMillis = nowMillis;
         }
         totals.starts++;
+        totals.orderedMillis.put(start.task(), nowMillis);
         String rack = rackOf.apply(start.worker());
         String firstRack = totals.firstRackByRun.putIfAbsent(start.run(), rack);
         if (firstRack != null && !firstRack.equals(rack)) {
@@ -63,8 +71,11 @@
         }
     }
 
-    void stopOrdered(Order.Stop stop, int priority) {
-        totalsOf(stop.task().job()).stops.merge(stop.reason(), 1, Integer::sum);
+    void stopOrdered(Order.Stop stop, int priority, long nowMillis) {
+        JobTotals totals = totalsOf(stop.task().job());
+        totals.stops.merge(stop.reason(), 1, Integer::sum);
+        Long orderedMillis = totals.orderedMillis.remove(stop.task());
+        totals.stoppedRunMillis += orderedMillis == null ? 0 : nowMillis - orderedMillis;
         metrics.count(Name.STOPS, stop.reason(), priority);
     }
 
@@ -86,6 +97,7 @@
                 .with("starts", totals.starts)
                 .with("spreadRuns", totals.spreadRuns.size())
                 .with("stops", totals.stops)
+                .with("stoppedRunMillis", totals.stoppedRunMillis)
                 .write();
     }
 
--- a/node/src/main/java/io/cardamomshelf/node/schedule/RoundReporter.java
+++ b/node/src/main/java/io/cardamomshelf/node/schedule/RoundReporter.java
@@ -119,6 +119,8 @@
         EventLog.of(NodeEvent.FLEET_LOAD)
                 .with("accelerators", load.accelerators())
                 .with("free", load.free())
+                .with("freeMemoryMb", load.freeMemoryMb())
+                .with("idleWorkers", load.idleWorkers())
                 .with("held", load.held())
                 .with("running", load.running())
                 .with("waiting", load.waiting())
--- a/node/src/main/java/io/cardamomshelf/node/schedule/SchedulerTerm.java
+++ b/node/src/main/java/io/cardamomshelf/node/schedule/SchedulerTerm.java
@@ -341,7 +341,8 @@
                     .with("worker", stop.worker())
                     .with("reason", stop.reason())
                     .write();
-            jobReporter.stopOrdered(stop, roundReporter.priorityOf(stop.task().job()));
+            jobReporter.stopOrdered(
+                    stop, roundReporter.priorityOf(stop.task().job()), wallMillis());
             link.stop(stop);
         }
     }
