--- a/core/src/test/java/io/cardamomshelf/core/schedule/HeavyLoadTest.java
+++ b/core/src/test/java/io/cardamomshelf/core/schedule/HeavyLoadTest.java
@@ -124,4 +124,25 @@
                             .run(ARRIVAL_MILLIS));
         }
     }
+
+    @Nested
+    class GangsBesideAnUrgentBurst {
+
+        /** Guards against gangs and single tasks that starve during a burst of urgent work. */
+        @ParameterizedTest
+        @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 24, 210})
+        void giveEveryClassItsMinimumShare(long seed) {
+            List<JobClass> classes =
+                    List.of(
+                            matching(0.62, 4, 4, 24, 140_000),
+                            check(1.1, 3, 18, 22_000),
+                            stocktaking(0.61, 9, 15, 72, 6_100));
+            assertMinShares(
+                    new LoadSimulation(seed, classes)
+                            .withWorkers(33, 6, WORKER_CAPACITY)
+                            .withMaxGangHosts(5)
+                            .withBurst(new LoadSimulation.Burst("check", 4, 2_000, 14_000))
+                            .run(ARRIVAL_MILLIS));
+        }
+    }
 }
--- a/core/src/test/java/io/cardamomshelf/core/schedule/JobClass.java
+++ b/core/src/test/java/io/cardamomshelf/core/schedule/JobClass.java
@@ -5,6 +5,7 @@
 import io.cardamomshelf.core.task.StepSpec;
 import java.util.List;
 import java.util.Random;
+import java.util.function.ToLongFunction;
 
 /**
  * A class of one-step jobs that {@link LoadSimulation} draws at random.
@@ -58,13 +59,16 @@
         return (long) Math.max(MIN_WORK_MILLIS, drawLogNormal(random, workMillis, WORK_SPREAD));
     }
 
-    StepSpec drawStep(Random random, long taskMillis) {
+    /** Draws a step; {@code maxGangWidth} gives the width of a gang that fits one rack. */
+    StepSpec drawStep(Random random, long taskMillis, ToLongFunction<Resources> maxGangWidth) {
         long width = Math.round(drawLogNormal(random, meanWidth, WIDTH_SPREAD));
         double estimate = drawLogNormal(random, taskMillis, estimateSpread);
+        int drawnAccelerators = accelerators.get(random.nextInt(accelerators.size()));
+        Resources demand = Resources.of(cpuMillis, memoryMb, drawnAccelerators);
+        long widest = gang ? Math.min(maxWidth, maxGangWidth.applyAsLong(demand)) : maxWidth;
         return new StepSpec(
-                (int) Math.max(1, Math.min(maxWidth, width)),
-                Resources.of(
-                        cpuMillis, memoryMb, accelerators.get(random.nextInt(accelerators.size()))),
+                (int) Math.max(1, Math.min(widest, width)),
+                demand,
                 (long) Math.max(MIN_ESTIMATE_MILLIS, estimate),
                 List.of(),
                 random.nextDouble() < checkpointingShare,
--- a/core/src/test/java/io/cardamomshelf/core/schedule/LoadSimulation.java
+++ b/core/src/test/java/io/cardamomshelf/core/schedule/LoadSimulation.java
@@ -90,6 +90,8 @@
     private final Map<JobId, SimulatedJob> jobs = new LinkedHashMap<>();
     private final Map<String, Tally> tallies = new TreeMap<>();
     private Optional<Burst> burst = Optional.empty();
+    private Resources workerCapacity = Resources.NONE;
+    private int maxGangHosts = Integer.MAX_VALUE;
     private long nowMillis = START_MILLIS;
 
     LoadSimulation(long seed, List<JobClass> classes) {
@@ -100,9 +102,20 @@
 
     LoadSimulation withWorkers(int count, int rackSize, Resources capacity) {
         workers.add(count, rackSize, capacity, clockReading());
+        workerCapacity = capacity;
         return this;
     }
 
+    /** Limits the width of gangs to what fits on a number of workers, such as those of a rack. */
+    LoadSimulation withMaxGangHosts(int hosts) {
+        maxGangHosts = hosts;
+        return this;
+    }
+
+    private long maxGangWidth(Resources demand) {
+        return (long) maxGangHosts * demand.copiesIn(workerCapacity);
+    }
+
     LoadSimulation withBurst(Burst newBurst) {
         burst = Optional.of(newBurst);
         return this;
@@ -172,7 +185,7 @@
 
     private void submitJob(JobClass jobClass) {
         long workMillis = jobClass.drawWorkMillis(random);
-        StepSpec step = jobClass.drawStep(random, workMillis);
+        StepSpec step = jobClass.drawStep(random, workMillis, this::maxGangWidth);
         JobId id = JobId.of(String.format("%016x", jobs.size() + 1));
         JobRequest request = new JobRequest("x", List.of(step), 0, 0, 0);
         TaskJob job =
