Gangs that can still meet their objective come before late ones

Its gangs were placed in the order of acceptance: once some were late, each took the room with which a later one could have been in time, and that one was late in turn.

PlacementOrder orders gangs and single-task jobs of one priority by the latest start that meets the objective; those that can't meet it come after those that can, until they have starved.

--- a/core/src/main/java/io/cardamomshelf/core/schedule/Round.java
+++ b/core/src/main/java/io/cardamomshelf/core/schedule/Round.java
@@ -6,7 +6,6 @@
 import io.cardamomshelf.core.task.QueuePolicy;
 import java.util.ArrayList;
 import java.util.Collection;
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -16,10 +15,9 @@
 /**
  * One scheduling round: places the waiting tasks of all jobs, and stops runs for urgent ones.
  *
- * <p>There may be more work than capacity. Urgent work within its organisation's guarantee comes
- * first, then the order is by priority and by time of acceptance. Work that doesn't fit doesn't
- * block the work behind it, but capacity that is being freed by preemption is held for the urgent
- * work it was freed for.
+ * <p>There may be more work than capacity; {@link PlacementOrder} tells which comes first. Work
+ * that doesn't fit doesn't block the work behind it, but capacity that is being freed by preemption
+ * is held for the work it was freed for.
  *
  * <p>Created by {@link SchedulerState#decide} for each round; not reused.
  */
@@ -57,7 +55,7 @@
                 groups.addAll(job.readyGroups(now.wallMillis()));
             }
         }
-        groups.sort(placementOrder(withinGuarantee));
+        groups.sort(new PlacementOrder(withinGuarantee, this::policy, now).comparator());
         groups.forEach(this::place);
         return orders;
     }
@@ -72,17 +70,6 @@
         return capacity.heldAccelerators();
     }
 
-    private Comparator<TaskGroup> placementOrder(Set<OrganisationId> withinGuarantee) {
-        return Comparator.<TaskGroup, Boolean>comparing(
-                        group ->
-                                !(isUrgent(group) && withinGuarantee.contains(organisation(group))))
-                .thenComparing(group -> policy(group).priority())
-                .thenComparing(group -> group.owner().job().acceptedMillis())
-                .thenComparing(group -> group.owner().job().id())
-                .thenComparing(TaskGroup::occurrence)
-                .thenComparing(TaskGroup::step);
-    }
-
     /** The organisations whose urgent jobs together fit into their guarantee. */
     private Set<OrganisationId> organisationsWithinGuarantee(Collection<LiveJob> jobs) {
         Map<OrganisationId, Integer> requested = new HashMap<>();
@@ -202,17 +189,13 @@
      * one by one, as those change hosts often.
      */
     private void addHostIntents(TaskGroup group, List<WorkerState> hosts) {
-        if (isPlacedTogether(group)) {
+        if (group.isPlacedTogether()) {
             state.jobs().addHostIntents(group.owner(), ids(hosts));
         } else {
             state.jobs().addIntentForAnyWorker(group.owner());
         }
     }
 
-    private static boolean isPlacedTogether(TaskGroup group) {
-        return group.spec().gang() || group.spec().count() == 1;
-    }
-
     private static List<WorkerId> ids(List<WorkerState> hosts) {
         return hosts.stream().map(WorkerState::id).toList();
     }
@@ -234,7 +217,7 @@
      * start one by one. Always returns false, as the group wasn't started.
      */
     private boolean recordWait(TaskGroup group, WaitReason reason) {
-        if (!isPlacedTogether(group)) {
+        if (!group.isPlacedTogether()) {
             state.jobs().addIntentForAnyWorker(group.owner());
         }
         waitReasons.put(group.owner().job().id(), reason);
@@ -304,8 +287,4 @@
     private QueuePolicy policy(TaskGroup group) {
         return state.policy(group.owner());
     }
-
-    private static OrganisationId organisation(TaskGroup group) {
-        return group.owner().job().organisation();
-    }
 }
--- a/core/src/main/java/io/cardamomshelf/core/schedule/RoundCapacity.java
+++ b/core/src/main/java/io/cardamomshelf/core/schedule/RoundCapacity.java
@@ -2,7 +2,6 @@
 
 import io.cardamomshelf.core.base.WorkerId;
 import io.cardamomshelf.core.task.Resources;
-import io.cardamomshelf.core.task.StepSpec;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Comparator;
@@ -74,7 +73,7 @@
             return free;
         }
         int priority = state.policy(group.owner()).priority();
-        long endMillis = estimatedEndMillis(group.spec());
+        long endMillis = estimatedEndMillis(group);
         for (Reservation reservation : onWorker) {
             if (priority >= reservation.excludedFromPriority()
                     && endMillis > reservation.neededMillis()) {
@@ -168,8 +167,7 @@
         return run.isBeingStopped() ? 0 : run.remainingMillis(nowMillis);
     }
 
-    private long estimatedEndMillis(StepSpec spec) {
-        boolean known = spec.estimateMillis() > 0 && !spec.longRunning();
-        return known ? nowMillis + spec.estimateMillis() : Long.MAX_VALUE;
+    private long estimatedEndMillis(TaskGroup group) {
+        return group.hasEstimate() ? nowMillis + group.spec().estimateMillis() : Long.MAX_VALUE;
     }
 }
--- a/core/src/main/java/io/cardamomshelf/core/schedule/TaskGroup.java
+++ b/core/src/main/java/io/cardamomshelf/core/schedule/TaskGroup.java
@@ -31,6 +31,7 @@
     private final int step;
     private final StepSpec spec;
     private final long readyMillis;
+    private final long latestStartMillis;
     private final BitSet doneTasks = new BitSet();
     private final Map<Integer, Failures> failures = new HashMap<>();
     private final Map<Integer, String> checkpoints = new HashMap<>();
@@ -44,6 +45,10 @@
         this.step = step;
         this.spec = owner.job().request().steps().get(step);
         this.readyMillis = readyMillis;
+        this.latestStartMillis =
+                objectiveStartMillis()
+                        + owner.job().objectiveMillis()
+                        - owner.job().request().longestChainMillis(step);
     }
 
     LiveJob owner() {
@@ -75,8 +80,27 @@
     }
 
     /**
-     * Whether it has waited for so long that it may be protected from work of equal priority, and
-     * no longer waits for its preferred rack.
+     * The latest start with which its job meets its objective by the callers' estimates, in
+     * milliseconds since 1970.
+     */
+    long latestStartMillis() {
+        return latestStartMillis;
+    }
+
+    /** Whether the time that a task takes is known. */
+    boolean hasEstimate() {
+        return spec.estimateMillis() > 0 && !spec.longRunning();
+    }
+
+    /** Whether all of its tasks start at the same time. */
+    boolean isPlacedTogether() {
+        return spec.gang() || spec.count() == 1;
+    }
+
+    /**
+     * Whether it has waited for so long that it may be protected from work of equal priority, no
+     * longer comes after work that can meet its objective, and no longer waits for its preferred
+     * rack.
      */
     boolean hasStarved(ClockReading now) {
         return now.wallMillis() - objectiveStartMillis()
--- a/core/src/main/java/io/cardamomshelf/core/task/JobRequest.java
+++ b/core/src/main/java/io/cardamomshelf/core/task/JobRequest.java
@@ -2,6 +2,7 @@
 
 import io.cardamomshelf.core.base.Checks;
 import java.util.List;
+import java.util.stream.LongStream;
 
 /**
  * A caller's request for a job: steps of tasks that run once, or repeatedly at set times.
@@ -55,16 +56,30 @@
      * @return milliseconds, 0 if the caller gave no estimates
      */
     public long longestChainMillis() {
-        long[] endMillis = new long[steps.size()];
-        long longestMillis = 0;
-        for (int i = 0; i < steps.size(); i++) {
+        return LongStream.of(chainsMillis()).max().orElse(0);
+    }
+
+    /**
+     * Returns the duration of the longest chain of dependent steps that begins with a step, by the
+     * caller's estimates.
+     *
+     * @param first the step, counted from 0
+     * @return milliseconds, 0 if the caller gave no estimates
+     */
+    public long longestChainMillis(int first) {
+        return chainsMillis()[first];
+    }
+
+    /** The longest chain that begins with each step. */
+    private long[] chainsMillis() {
+        long[] chains = new long[steps.size()];
+        for (int i = steps.size() - 1; i >= 0; i--) {
+            chains[i] += steps.get(i).estimateMillis();
             for (int predecessor : steps.get(i).after()) {
-                endMillis[i] = Math.max(endMillis[i], endMillis[predecessor]);
+                chains[predecessor] = Math.max(chains[predecessor], chains[i]);
             }
-            endMillis[i] += steps.get(i).estimateMillis();
-            longestMillis = Math.max(longestMillis, endMillis[i]);
         }
-        return longestMillis;
+        return chains;
     }
 
     /**
