Plans of preemption use the capacity of all members of a stopped gang

A gang is stopped as a whole, but a plan took only the member on the worker at hand for stopped: on the gang's other workers it paid for the whole gang again, and stopped other work although that capacity was about to be free. The cost of a rack's plan counted a gang once for each member.

PreemptionTest usesTheCapacityOfAllMembersOfAStoppedGang failed before: it stopped the gang and a task on a third worker rather than the gang and the cheaper task beside one of its members.

--- a/core/src/main/java/io/cardamomshelf/core/schedule/Preemption.java
+++ b/core/src/main/java/io/cardamomshelf/core/schedule/Preemption.java
@@ -10,15 +10,15 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import java.util.function.ToIntFunction;
+import java.util.function.Predicate;
 
 /**
- * Chooses the runs to stop so that an urgent group gets capacity.
+ * Chooses the runs to stop so that a more urgent group gets capacity.
  *
- * <p>Urgent gangs arrive while less urgent work occupies the accelerators, and a guarantee has to
- * be met within seconds. A plan stops the runs with the lowest cost, which is the lost work and the
- * restart. Capacity of runs that are already being stopped counts as free. This class stops nothing
- * itself: {@link Round} carries out the plan.
+ * <p>A plan stops the runs with the lowest cost, which is the lost work and the restart. Capacity
+ * of runs that are already being stopped counts as free. A gang is stopped as a whole, so a plan
+ * also uses the capacity of its other members. This class stops nothing itself: {@link Round}
+ * carries out the plan.
  */
 final class Preemption {
 
@@ -26,46 +26,39 @@
      * A set of runs to stop, and the workers that the tasks then fit on.
      *
      * @param hosts a worker for each task
-     * @param victims the runs to stop
+     * @param victims the runs to stop, with all members of each gang
      */
     record Plan(List<WorkerState> hosts, Set<Run> victims) {}
 
     private final RoundCapacity capacity;
     private final ClockReading now;
-    private final int priority;
-    private final ToIntFunction<Run> priorityOf;
+    private final Predicate<Run> mayStop;
 
-    Preemption(
-            RoundCapacity capacity, ClockReading now, int priority, ToIntFunction<Run> priorityOf) {
+    /**
+     * Creates the preemption for one group.
+     *
+     * @param mayStop whether a run may be stopped for the group
+     */
+    Preemption(RoundCapacity capacity, ClockReading now, Predicate<Run> mayStop) {
         this.capacity = capacity;
         this.now = now;
-        this.priority = priority;
-        this.priorityOf = priorityOf;
+        this.mayStop = mayStop;
     }
 
-    /** Plans preemption in the preferred rack with the lowest cost of stops. */
-    Optional<Plan> planInPreferredRack(TaskGroup group, int count, String service) {
-        return TaskPlacer.preferredRacks(capacity.candidates(group, service), group).stream()
-                .flatMap(rack -> plan(rack, group, count).stream())
+    /** Plans preemption on the one of several sets of workers with the lowest cost of stops. */
+    Optional<Plan> plan(TaskGroup group, int count, Collection<List<WorkerState>> workerSets) {
+        return workerSets.stream()
+                .flatMap(workers -> plan(workers, group, count).stream())
                 .min(Comparator.comparingLong(this::stopCost));
     }
 
-    /** Plans preemption on the workers with the lowest cost of stops, regardless of racks. */
-    Optional<Plan> planAnywhere(TaskGroup group, int count, String service) {
-        return plan(capacity.candidates(group, service), group, count);
-    }
-
     /** The work that a plan loses, in core-milliseconds. */
     long lostWork(Plan plan) {
-        return plan.victims().stream()
-                .flatMap(victim -> runsStoppedWith(victim).stream())
-                .distinct()
-                .mapToLong(run -> run.lostWork(now.monotonicMillis()))
-                .sum();
+        return plan.victims().stream().mapToLong(run -> run.lostWork(now.monotonicMillis())).sum();
     }
 
     private long stopCost(Plan plan) {
-        return plan.victims().stream().mapToLong(this::stopCost).sum();
+        return stopCost(plan.victims());
     }
 
     private Optional<Plan> plan(List<WorkerState> workers, TaskGroup group, int count) {
@@ -90,7 +83,7 @@
         return Optional.of(new Plan(hosts, victims));
     }
 
-    private record HostChoice(WorkerState worker, List<Run> victims, long cost) {}
+    private record HostChoice(WorkerState worker, Set<Run> victims, long cost) {}
 
     /** The cheapest way to fit one more task on a worker. */
     private Optional<HostChoice> cheapestChoice(
@@ -105,43 +98,33 @@
                 free = free.plus(run.group.spec().allocation());
             }
         }
-        List<Run> additionalVictims = new ArrayList<>();
-        long cost = 0;
+        Set<Run> additionalVictims = new HashSet<>();
         List<Run> preemptible =
                 worker.runs().stream()
                         .filter(run -> !chosenVictims.contains(run) && isPreemptible(run))
-                        .sorted(Comparator.comparingLong(this::stopCost))
+                        .sorted(Comparator.comparingLong(run -> stopCost(runsStoppedWith(run))))
                         .toList();
         for (Run run : preemptible) {
             if (TaskPlacer.fittingTasks(worker, group, free) >= needed) {
                 break;
             }
             free = free.plus(run.group.spec().allocation());
-            additionalVictims.add(run);
-            cost += stopCost(run);
+            additionalVictims.addAll(runsStoppedWith(run));
         }
         if (TaskPlacer.fittingTasks(worker, group, free) < needed) {
             return Optional.empty();
         }
-        return Optional.of(new HostChoice(worker, additionalVictims, cost));
+        return Optional.of(new HostChoice(worker, additionalVictims, stopCost(additionalVictims)));
     }
 
-    /** Less urgent runs are preemptible, unless their step limits how many may be unavailable. */
+    /** Runs are preemptible unless their step limits how many may be unavailable. */
     private boolean isPreemptible(Run run) {
-        return !run.isBeingStopped()
-                && run.group.spec().maxUnavailable() == 0
-                && priorityOf.applyAsInt(run) > priority;
+        return !run.isBeingStopped() && run.group.spec().maxUnavailable() == 0 && mayStop.test(run);
     }
 
-    /**
-     * A gang is stopped as a whole, so stopping one member costs as much as stopping all. The 1
-     * makes each stop cost more than none.
-     */
-    private long stopCost(Run run) {
-        return 1
-                + runsStoppedWith(run).stream()
-                        .mapToLong(member -> member.stopCost(now.monotonicMillis()))
-                        .sum();
+    /** The cost of stopping runs; the 1 makes each stop cost more than none. */
+    private long stopCost(Collection<Run> runs) {
+        return runs.stream().mapToLong(run -> 1 + run.stopCost(now.monotonicMillis())).sum();
     }
 
     private static Collection<Run> runsStoppedWith(Run run) {
--- a/core/src/main/java/io/cardamomshelf/core/schedule/Reservations.java
+++ b/core/src/main/java/io/cardamomshelf/core/schedule/Reservations.java
@@ -36,29 +36,31 @@
     }
 
     /**
-     * Reserves capacity for a waiting gang on one of several sets of workers.
+     * Predicts when a gang can start on one of several sets of workers.
+     *
+     * @return the earliest start, empty if the group isn't a gang, if it doesn't fit, or if the
+     *     round has made all of its reservations
+     */
+    Optional<Forecast.Start> earliestStart(
+            TaskGroup group, int count, Collection<List<WorkerState>> workerSets) {
+        return group.spec().gang() && reservationCount < MAX_RESERVATIONS
+                ? forecast.earliestStart(group, count, workerSets)
+                : Optional.empty();
+    }
+
+    /**
+     * Reserves the capacity of a predicted start for a gang.
      *
      * @param priority the priority of the gang's queue
-     * @return the expected start, empty if nothing was reserved
      */
-    Optional<Forecast.Start> reserve(
-            TaskGroup group, int count, int priority, Collection<List<WorkerState>> workerSets) {
-        if (!group.spec().gang() || reservationCount >= MAX_RESERVATIONS) {
-            return Optional.empty();
-        }
-        Optional<Forecast.Start> chosen = forecast.earliestStart(group, count, workerSets);
-        if (chosen.isEmpty()) {
-            return chosen;
-        }
+    void reserve(TaskGroup group, Forecast.Start start, int priority) {
         reservationCount++;
-        Forecast.Start start = chosen.get();
         group.setReservedRack(start.rack());
         int excludedFromPriority = takesPrecedence(group, start) ? priority : priority + 1;
         for (WorkerState host : start.hosts()) {
             capacity.reserve(
                     host, group.spec().allocation(), excludedFromPriority, start.freeMillis());
         }
-        return chosen;
     }
 
     /**
--- a/core/src/main/java/io/cardamomshelf/core/schedule/Round.java
+++ b/core/src/main/java/io/cardamomshelf/core/schedule/Round.java
@@ -17,7 +17,7 @@
  *
  * <p>There may be more work than capacity; {@link PlacementOrder} tells which comes first. Work
  * that doesn't fit doesn't block the work behind it, but capacity that is being freed by preemption
- * is held for the work it was freed for.
+ * is held for the urgent work it was freed for.
  *
  * <p>Created by {@link SchedulerState#decide} for each round; not reused.
  */
@@ -125,10 +125,7 @@
                 hosts.isEmpty()
                         && TaskPlacer.hasPreferredRack(group)
                         && localityPolicy.isWorthWaiting(
-                                group,
-                                count,
-                                isUrgent(group),
-                                TaskPlacer.preferredRacks(candidates(group), group));
+                                group, count, isUrgent(group), preferredRacks(group));
         if (hosts.isEmpty() && !waitsForRack && TaskPlacer.hasPreferredRack(group)) {
             hosts = placer.placeAnywhere(group, count, candidates(group));
         }
@@ -143,18 +140,19 @@
             return true;
         }
         if (waitsForRack) {
-            reserve(group, count, TaskPlacer.preferredRacks(candidates(group), group));
+            reserve(group, count, preferredRacks(group));
             return recordWait(group, WaitReason.WANTED_RACK);
         }
-        Optional<Preemption.Plan> plan =
-                mayPreempt(group)
-                        ? preemption(group).planAnywhere(group, count, policy.service())
-                        : Optional.empty();
-        plan.ifPresent(chosen -> preempt(group, chosen));
-        if (plan.isEmpty()) {
-            reserve(group, count, List.of(candidates(group)));
+        List<List<WorkerState>> anyWorkers = List.of(candidates(group));
+        if (mayPreempt(group)) {
+            Optional<Preemption.Plan> plan = preemption(group).plan(group, count, anyWorkers);
+            if (plan.isPresent()) {
+                preempt(group, plan.get());
+                return recordWait(group, WaitReason.RECLAIMING);
+            }
         }
-        return recordWait(group, plan.isPresent() ? WaitReason.RECLAIMING : WaitReason.NO_ROOM);
+        reserve(group, count, anyWorkers);
+        return recordWait(group, WaitReason.NO_ROOM);
     }
 
     /**
@@ -205,10 +203,13 @@
      * needn't wait for the store once the capacity is free.
      */
     private void reserve(TaskGroup group, int count, Collection<List<WorkerState>> workerSets) {
-        Optional<Forecast.Start> start =
-                reservations.reserve(group, count, policy(group).priority(), workerSets);
+        Optional<Forecast.Start> start = reservations.earliestStart(group, count, workerSets);
+        if (start.isEmpty()) {
+            return;
+        }
+        reservations.reserve(group, start.get(), policy(group).priority());
         if (!group.owner().hostIntents().hasIntentForNextStart()) {
-            start.ifPresent(forecastStart -> addHostIntents(group, forecastStart.hosts()));
+            addHostIntents(group, start.get().hosts());
         }
     }
 
@@ -230,8 +231,7 @@
             return false;
         }
         Preemption preemption = preemption(group);
-        Optional<Preemption.Plan> plan =
-                preemption.planInPreferredRack(group, count, policy(group).service());
+        Optional<Preemption.Plan> plan = preemption.plan(group, count, preferredRacks(group));
         if (plan.isEmpty()
                 || preemption.lostWork(plan.get())
                         > LocalityPolicy.nonLocalExtraWork(group, count)) {
@@ -241,12 +241,13 @@
         return true;
     }
 
+    /** Preemption for urgent work, which may stop all less urgent runs. */
     private Preemption preemption(TaskGroup group) {
-        return new Preemption(
-                capacity,
-                now,
-                policy(group).priority(),
-                run -> state.policy(run.group.owner()).priority());
+        return new Preemption(capacity, now, run -> isLessUrgent(run, group));
+    }
+
+    private boolean isLessUrgent(Run run, TaskGroup group) {
+        return state.policy(run.group.owner()).priority() > policy(group).priority();
     }
 
     /** Holds the planned capacity for the group and orders the stops that free it. */
@@ -254,16 +255,10 @@
         addHostIntents(group, plan.hosts());
         plan.hosts().forEach(host -> capacity.hold(host, group.spec().allocation()));
         for (Run victim : plan.victims()) {
-            for (Run run : runsStoppedWith(victim)) {
-                state.stop(run, Order.StopReason.RECLAIMED, now).ifPresent(orders::add);
-            }
+            state.stop(victim, Order.StopReason.RECLAIMED, now).ifPresent(orders::add);
         }
     }
 
-    private static Collection<Run> runsStoppedWith(Run run) {
-        return run.group.spec().gang() ? run.group.runs() : List.of(run);
-    }
-
     private void start(TaskGroup group, List<Integer> tasks, List<WorkerState> hosts) {
         group.owner().hostIntents().markStarted(ids(hosts));
         long run = state.nextRunNumber();
@@ -280,6 +275,10 @@
         return policy(group).priority() == 0;
     }
 
+    private Collection<List<WorkerState>> preferredRacks(TaskGroup group) {
+        return TaskPlacer.preferredRacks(candidates(group), group);
+    }
+
     private List<WorkerState> candidates(TaskGroup group) {
         return capacity.candidates(group, policy(group).service());
     }
