A gang that would miss its objective displaces less urgent runs that have time

Only urgent work displaced anything, so what a gang was promised was when the runs on its workers ended, be they long and less urgent.

A gang that can still meet its objective, and wouldn't with the start that is forecast, now stops less urgent runs whose job has the time for a restart by its estimate, and half of it more. Otherwise it reserves as before. So no job is displaced that would be late by it, and none for a gang that is late anyway.

Evidence: PreemptionTest stopsLessUrgentRunsThatHaveTimeToRestart failed before; its other four cases guard the limits.

--- a/core/src/main/java/io/cardamomshelf/core/schedule/Reservations.java
+++ b/core/src/main/java/io/cardamomshelf/core/schedule/Reservations.java
@@ -48,6 +48,14 @@
                 : Optional.empty();
     }
 
+    /** Whether a gang that could still meet its objective misses it with this start. */
+    boolean missesObjective(TaskGroup group, Forecast.Start start) {
+        long wallMillis = now.wallMillis() + start.freeMillis() - now.monotonicMillis();
+        return group.hasEstimate()
+                && now.wallMillis() <= group.latestStartMillis()
+                && wallMillis > group.latestStartMillis();
+    }
+
     /**
      * Reserves the capacity of a predicted start for a gang.
      *
--- a/core/src/main/java/io/cardamomshelf/core/schedule/Round.java
+++ b/core/src/main/java/io/cardamomshelf/core/schedule/Round.java
@@ -140,8 +140,9 @@
             return true;
         }
         if (waitsForRack) {
-            reserve(group, count, preferredRacks(group));
-            return recordWait(group, WaitReason.WANTED_RACK);
+            WaitReason reason = WaitReason.WANTED_RACK;
+            return recordWait(
+                    group, reserveOrDisplace(group, count, preferredRacks(group), reason));
         }
         List<List<WorkerState>> anyWorkers = List.of(candidates(group));
         if (mayPreempt(group)) {
@@ -151,8 +152,7 @@
                 return recordWait(group, WaitReason.RECLAIMING);
             }
         }
-        reserve(group, count, anyWorkers);
-        return recordWait(group, WaitReason.NO_ROOM);
+        return recordWait(group, reserveOrDisplace(group, count, anyWorkers, WaitReason.NO_ROOM));
     }
 
     /**
@@ -200,17 +200,32 @@
 
     /**
      * Reserves capacity if the group is a gang, and adds its host intents now, so that the start
-     * needn't wait for the store once the capacity is free.
+     * needn't wait for the store once the capacity is free. If that is too late for the gang's
+     * objective, stops less urgent runs instead, as far as they have the time for a restart.
+     *
+     * @return why the group waits: the given reason, unless runs are being stopped for it
      */
-    private void reserve(TaskGroup group, int count, Collection<List<WorkerState>> workerSets) {
+    private WaitReason reserveOrDisplace(
+            TaskGroup group,
+            int count,
+            Collection<List<WorkerState>> workerSets,
+            WaitReason reason) {
         Optional<Forecast.Start> start = reservations.earliestStart(group, count, workerSets);
         if (start.isEmpty()) {
-            return;
+            return reason;
+        }
+        if (state.mayPreempt(now) && reservations.missesObjective(group, start.get())) {
+            Optional<Preemption.Plan> plan = displacement(group).plan(group, count, workerSets);
+            if (plan.isPresent()) {
+                preempt(group, plan.get());
+                return WaitReason.RECLAIMING;
+            }
         }
         reservations.reserve(group, start.get(), policy(group).priority());
         if (!group.owner().hostIntents().hasIntentForNextStart()) {
             addHostIntents(group, start.get().hosts());
         }
+        return reason;
     }
 
     /**
@@ -246,6 +261,12 @@
         return new Preemption(capacity, now, run -> isLessUrgent(run, group));
     }
 
+    /** Preemption for a gang that would be late, which may not make other jobs late. */
+    private Preemption displacement(TaskGroup group) {
+        return new Preemption(
+                capacity, now, run -> isLessUrgent(run, group) && run.hasTimeToRestart(now));
+    }
+
     private boolean isLessUrgent(Run run, TaskGroup group) {
         return state.policy(run.group.owner()).priority() > policy(group).priority();
     }
--- a/core/src/main/java/io/cardamomshelf/core/schedule/Run.java
+++ b/core/src/main/java/io/cardamomshelf/core/schedule/Run.java
@@ -129,6 +129,15 @@
         return coreEquivalents(group.spec()) * Math.max(0, nowMillis - orderedMillis);
     }
 
+    /**
+     * Whether its job can still meet its objective if the run is stopped now. Allows for estimates
+     * that are too low by half.
+     */
+    boolean hasTimeToRestart(ClockReading now) {
+        long restartMillis = RESTART_MILLIS + group.spec().estimateMillis() / 2;
+        return group.hasEstimate() && now.wallMillis() + restartMillis <= group.latestStartMillis();
+    }
+
     /** The cost of a stop now, in core-milliseconds: the lost work and the restart. */
     long stopCost(long nowMillis) {
         return isBeingStopped()
