--- a/core/src/main/java/io/cardamomshelf/core/schedule/Round.java
+++ b/core/src/main/java/io/cardamomshelf/core/schedule/Round.java
@@ -109,7 +109,8 @@
      * Places tasks that start together. The first choice is free capacity in a preferred rack. For
      * urgent work the next is preemption there, if it loses less work than a non-local placement
      * adds. Then any rack is used, unless it is worth waiting for a preferred one. If nothing fits,
-     * urgent work preempts on any workers, and gangs that preempt nothing get a reservation.
+     * urgent work preempts on any workers. Gangs that preempt nothing get a reservation, or
+     * displace less urgent runs if they would be late otherwise.
      *
      * @return whether the tasks were started
      */
