--- a/node/src/main/java/io/cardamomshelf/node/schedule/JobReporter.java
+++ b/node/src/main/java/io/cardamomshelf/node/schedule/JobReporter.java
@@ -4,17 +4,13 @@
 import io.cardamomshelf.core.base.WorkerId;
 import io.cardamomshelf.core.schedule.Order;
 import io.cardamomshelf.core.task.JobState;
-import io.cardamomshelf.core.task.TaskId;
 import io.cardamomshelf.core.task.TaskJob;
 import io.cardamomshelf.node.event.EventLog;
 import io.cardamomshelf.node.event.NodeEvent;
 import io.cardamomshelf.node.metric.ServiceMetrics;
 import io.cardamomshelf.node.metric.ServiceMetrics.Name;
-import java.util.EnumMap;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.Map;
-import java.util.Set;
 import java.util.function.Function;
 
 /**
@@ -29,25 +25,6 @@
  */
 final class JobReporter {
 
-    private static final class JobTotals {
-        private long firstStartMillis = -1;
-        private int starts;
-
-        /** By run number, the rack of the first start; the members of a gang share a run number. */
-        private final Map<Long, String> firstRackByRun = new HashMap<>();
-
-        /** The numbers of the runs that were started in more than one rack. */
-        private final Set<Long> spreadRuns = new HashSet<>();
-
-        private final Map<Order.StopReason, Integer> stops = new EnumMap<>(Order.StopReason.class);
-
-        /** When the latest run of each task was ordered. */
-        private final Map<TaskId, Long> orderedMillis = new HashMap<>();
-
-        /** The summed age of the stopped runs. */
-        private long stoppedRunMillis;
-    }
-
     private final ServiceMetrics metrics;
     private final Function<WorkerId, String> rackOf;
     private final Map<JobId, JobTotals> totalsByJob = new HashMap<>();
@@ -58,24 +35,11 @@
     }
 
     void startOrdered(Order.Start start, long nowMillis) {
-        JobTotals totals = totalsOf(start.task().job());
-        if (totals.firstStartMillis < 0) {
-            totals.firstStartMillis = nowMillis;
-        }
-        totals.starts++;
-        totals.orderedMillis.put(start.task(), nowMillis);
-        String rack = rackOf.apply(start.worker());
-        String firstRack = totals.firstRackByRun.putIfAbsent(start.run(), rack);
-        if (firstRack != null && !firstRack.equals(rack)) {
-            totals.spreadRuns.add(start.run());
-        }
+        totalsOf(start.task().job()).addStart(start, rackOf.apply(start.worker()), nowMillis);
     }
 
     void stopOrdered(Order.Stop stop, int priority, long nowMillis) {
-        JobTotals totals = totalsOf(stop.task().job());
-        totals.stops.merge(stop.reason(), 1, Integer::sum);
-        Long orderedMillis = totals.orderedMillis.remove(stop.task());
-        totals.stoppedRunMillis += orderedMillis == null ? 0 : nowMillis - orderedMillis;
+        totalsOf(stop.task().job()).addStop(stop, nowMillis);
         metrics.count(Name.STOPS, stop.reason(), priority);
     }
 
@@ -94,10 +58,10 @@
                 .with("tookMillis", elapsedMillis)
                 .with("objectiveMillis", job.objectiveMillis())
                 .with("firstStartMillis", firstStartDelayMillis(totals, job))
-                .with("starts", totals.starts)
-                .with("spreadRuns", totals.spreadRuns.size())
-                .with("stops", totals.stops)
-                .with("stoppedRunMillis", totals.stoppedRunMillis)
+                .with("starts", totals.starts())
+                .with("spreadRuns", totals.spreadRuns())
+                .with("stops", totals.stops())
+                .with("stoppedRunMillis", totals.stoppedRunMillis())
                 .write();
     }
 
@@ -107,7 +71,9 @@
     }
 
     private static long firstStartDelayMillis(JobTotals totals, TaskJob job) {
-        return totals.firstStartMillis < 0 ? -1 : totals.firstStartMillis - job.acceptedMillis();
+        return totals.firstStartMillis() < 0
+                ? -1
+                : totals.firstStartMillis() - job.acceptedMillis();
     }
 
     private JobTotals totalsOf(JobId id) {
