Pass the source of randomness to SchedulerCandidate

No change of behaviour: the seed is still the name's hash code times 31 plus the wall clock. Tests can give two candidates the same numbers now.

--- a/node/src/main/java/io/cardamomshelf/node/Node.java
+++ b/node/src/main/java/io/cardamomshelf/node/Node.java
@@ -22,6 +22,7 @@
 import io.cardamomshelf.node.store.StreamFollower.Pace;
 import io.smallrye.mutiny.Uni;
 import io.vertx.mutiny.core.Vertx;
+import java.util.Random;
 
 /**
  * One instance of the service: the server for callers, the followers of the store's streams, and a
@@ -121,7 +122,8 @@
                         clock,
                         settings,
                         metrics,
-                        this::jobsPosition);
+                        this::jobsPosition,
+                        new Random(settings.name().hashCode() * 31L + clock.now().wallMillis()));
         this.operatorsFollower =
                 createFollower(adapter, Stream.OPERATORS, operators, OPERATORS_PACE);
         this.workersFollower =
--- a/node/src/main/java/io/cardamomshelf/node/schedule/SchedulerCandidate.java
+++ b/node/src/main/java/io/cardamomshelf/node/schedule/SchedulerCandidate.java
@@ -28,8 +28,8 @@
 import io.smallrye.mutiny.Uni;
 import java.util.List;
 import java.util.Optional;
-import java.util.Random;
 import java.util.function.LongSupplier;
+import java.util.random.RandomGenerator;
 
 /**
  * One process's candidacy for scheduler: runs for election when there is no scheduler, and starts a
@@ -95,7 +95,7 @@
     private final NodeSettings settings;
     private final ServiceMetrics metrics;
     private final LongSupplier jobsPosition;
-    private final Random random;
+    private final RandomGenerator random;
     private final ElectionTimer electionTimer;
     private final JobsView jobs;
     private final WorkersView workers;
@@ -127,6 +127,7 @@
      * @param settings the node's settings, not null
      * @param metrics the metrics to update, not null
      * @param jobsPosition returns the position up to which the jobs' stream was read, not null
+     * @param random the source of randomness, not null
      */
     public SchedulerCandidate(
             Timers timers,
@@ -138,7 +139,8 @@
             Clock clock,
             NodeSettings settings,
             ServiceMetrics metrics,
-            LongSupplier jobsPosition) {
+            LongSupplier jobsPosition,
+            RandomGenerator random) {
         this.timers = timers;
         this.store = store;
         this.orders = orders;
@@ -147,7 +149,7 @@
         this.settings = settings;
         this.metrics = metrics;
         this.jobsPosition = jobsPosition;
-        this.random = new Random(settings.name().hashCode() * 31L + clock.now().wallMillis());
+        this.random = random;
         this.electionTimer =
                 new ElectionTimer(
                         LEADER_TIMEOUT_MILLIS + random.nextInt(MAX_JITTER_MILLIS),
--- a/node/src/test/java/io/cardamomshelf/node/schedule/SchedulingFixture.java
+++ b/node/src/test/java/io/cardamomshelf/node/schedule/SchedulingFixture.java
@@ -30,7 +30,9 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.Random;
 import java.util.function.ToLongFunction;
+import java.util.random.RandomGenerator;
 
 /** Schedulers with a shared store and workers in memory, in virtual time. */
 abstract class SchedulingFixture {
@@ -94,6 +96,10 @@
         }
 
         Process(String name, double cores) {
+            this(name, cores, new Random(name.hashCode() * 31L + time.now().wallMillis()));
+        }
+
+        Process(String name, double cores, RandomGenerator random) {
             operators = new OperatorsView(decoder, () -> {});
             candidate =
                     new SchedulerCandidate(
@@ -106,7 +112,8 @@
                             time,
                             settings(name, cores),
                             new ServiceMetrics(),
-                            () -> jobsFollower.position());
+                            () -> jobsFollower.position(),
+                            random);
             jobsFollower = follow(Stream.JOBS, candidate.jobs());
             follow(Stream.OPERATORS, operators);
             follow(Stream.WORKERS, candidate.workers());
