Reproduce two schedulers of one epoch: equal random numbers

Two candidates that draw the same first sequence number and run for election before either sees the other's record both get a success from the store: to the store, the second append is a repeat of the first one. Appends that carry the other's sequence numbers are answered as stored without being stored.

The fake store now repeats the answers to the last five appends, as the platform's store does.

--- a/node/src/test/java/io/cardamomshelf/node/FakeStore.java
+++ b/node/src/test/java/io/cardamomshelf/node/FakeStore.java
@@ -19,6 +19,9 @@
 
     private static final long CALL_MILLIS = 4;
 
+    /** How many of the last appends of a writer get their first answer again if repeated. */
+    private static final int REPEATS_KEPT = 5;
+
     /** The fault that is in effect. */
     public enum Fault {
         /** Every call succeeds. */
@@ -38,7 +41,10 @@
     private final Map<Stream, Long> firstOffsets = new EnumMap<>(Stream.class);
     private long epoch;
     private long sequence = -1;
-    private long lastOffset;
+
+    /** The offsets of the last appends with a writer, by sequence number, oldest first. */
+    private final Map<Long, Long> repeatableOffsets = new LinkedHashMap<>();
+
     public Fault fault = Fault.NONE;
     public long lateAppendMillis = 2_000;
     public long appendMillis = CALL_MILLIS;
@@ -96,17 +102,24 @@
     private AppendOutcome store(List<StoredRecord> records, Optional<Writer> writer) {
         if (writer.isPresent()) {
             Writer identity = writer.get();
-            boolean isRepeat = identity.epoch() == epoch && identity.sequence() == sequence;
+            boolean isRepeat =
+                    identity.epoch() == epoch && repeatableOffsets.containsKey(identity.sequence());
             if (isRepeat) {
-                return new AppendOutcome.Stored(lastOffset);
+                return new AppendOutcome.Stored(repeatableOffsets.get(identity.sequence()));
             }
             boolean isNext = identity.epoch() == epoch && identity.sequence() == sequence + 1;
             if (identity.epoch() < epoch || identity.epoch() == epoch && !isNext) {
                 return new AppendOutcome.Deposed();
             }
+            if (identity.epoch() > epoch) {
+                repeatableOffsets.clear();
+            }
             epoch = identity.epoch();
             sequence = identity.sequence();
-            lastOffset = streams.get(Stream.JOBS).size();
+            repeatableOffsets.put(sequence, (long) streams.get(Stream.JOBS).size());
+            if (repeatableOffsets.size() > REPEATS_KEPT) {
+                repeatableOffsets.remove(repeatableOffsets.keySet().iterator().next());
+            }
         }
         long offset = streams.get(Stream.JOBS).size();
         records.forEach(record -> write(Stream.JOBS, record));
--- a/node/src/test/java/io/cardamomshelf/node/schedule/SuccessionTest.java
+++ b/node/src/test/java/io/cardamomshelf/node/schedule/SuccessionTest.java
@@ -14,6 +14,7 @@
 import io.cardamomshelf.node.port.StoredRecord;
 import io.cardamomshelf.node.store.JobRecords;
 import java.util.List;
+import java.util.Random;
 import java.util.function.BooleanSupplier;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
@@ -92,6 +93,21 @@
             assertTrue(one.candidate.isLeading() ^ two.candidate.isLeading());
         }
 
+        /** Guards against two schedulers of one epoch, which start the same tasks. */
+        @Test
+        void withEqualRandomNumbersElectExactlyOneScheduler() {
+            storeConfigurationAndWorkers("w1", "w2");
+            Process one = new Process("one", 1, new Random(1));
+            Process two = new Process("two", 1, new Random(1));
+            for (int i = 0; i < 20; i++) {
+                submitSmall(JobId.of(String.format("%016x", 0xb00 + i)));
+            }
+            time.advance(8_000);
+            assertTrue(one.candidate.isLeading() ^ two.candidate.isLeading());
+            assertEquals(List.of(), workers.overlaps);
+            assertEquals(16, workers.starts.size());
+        }
+
         @Test
         void onSmallNodesLeaveLeadershipToALargerNode() {
             storeConfigurationAndWorkers("w1");
