Elect a scheduler by its own record, not by the answer to its append

Cause: a candidate took the store's success for its election. The store answers an append whose sequence number is among the writer's last five as a repeat. All schedulers share one writer, so two candidates for one epoch that drew the same first sequence number both got the success, led with equal fencing tokens, and appended with the same sequence numbers, so that records of either were answered as stored without being stored. The numbers weren't independent: the seed was the name's hash code times 31 plus the wall clock in milliseconds. Names that differ by one in the last digit draw the same numbers, the election timeout included, if the processes start 31 ms apart.

Class of fault: an identity made of values that two processes can share, and a repeated answer taken for one's own success.

Fix: the leader record names the candidacy by its holder and a random number. A candidate leads, and appends or resigns under the epoch, only once it reads its own record as that of the epoch. First sequence numbers are multiples of 2^20, so that one candidate's append can't be the next after another's. Randomness is from SecureRandom. Records without the field, of processes not upgraded yet, have candidacy 0.

Ruled out by reading: a successor of a higher epoch, as workers refuse the lower token and each worker must have listed its runs before it gets a start.

--- a/node/src/main/java/io/cardamomshelf/node/Node.java
+++ b/node/src/main/java/io/cardamomshelf/node/Node.java
@@ -22,7 +22,7 @@
 import io.cardamomshelf.node.store.StreamFollower.Pace;
 import io.smallrye.mutiny.Uni;
 import io.vertx.mutiny.core.Vertx;
-import java.util.Random;
+import java.security.SecureRandom;
 
 /**
  * One instance of the service: the server for callers, the followers of the store's streams, and a
@@ -123,7 +123,7 @@
                         settings,
                         metrics,
                         this::jobsPosition,
-                        new Random(settings.name().hashCode() * 31L + clock.now().wallMillis()));
+                        new SecureRandom());
         this.operatorsFollower =
                 createFollower(adapter, Stream.OPERATORS, operators, OPERATORS_PACE);
         this.workersFollower =
--- /dev/null
+++ b/node/src/main/java/io/cardamomshelf/node/schedule/Candidacy.java
@@ -0,0 +1,62 @@
+package io.cardamomshelf.node.schedule;
+
+import io.cardamomshelf.core.schedule.ClockReading;
+import io.cardamomshelf.node.port.KeyedStore.Writer;
+import io.cardamomshelf.node.port.StoredRecord;
+import io.cardamomshelf.node.store.JobRecords;
+import java.util.random.RandomGenerator;
+
+/**
+ * One attempt of a process to be elected scheduler.
+ *
+ * <p>Immutable and thread-safe.
+ *
+ * @param holder the name of the process's node, not null
+ * @param id distinguishes the candidacies of processes of that node; random
+ * @param writer identifies the append that stores its record, not null
+ * @param sentAt when that was first sent, not null
+ * @param predecessorsEnded whether no earlier scheduler grants leases any more
+ */
+record Candidacy(
+        String holder, long id, Writer writer, ClockReading sentAt, boolean predecessorsEnded) {
+
+    /** The bound of the random part of the first sequence number. */
+    private static final long FIRST_SEQUENCE_BOUND = 1L << 30;
+
+    /**
+     * The distance between first sequence numbers: more than the appends of a term. The store would
+     * accept the append of a second candidate for an epoch if its sequence number were the next
+     * after one of the first one's.
+     */
+    private static final long FIRST_SEQUENCE_STEP = 1L << 20;
+
+    /** Makes a candidacy for an epoch, with a random identifier and first sequence number. */
+    static Candidacy of(
+            String holder,
+            long epoch,
+            boolean predecessorsEnded,
+            ClockReading now,
+            RandomGenerator random) {
+        long sequence = random.nextLong(FIRST_SEQUENCE_BOUND) * FIRST_SEQUENCE_STEP;
+        return new Candidacy(
+                holder, random.nextLong(), new Writer(epoch, sequence), now, predecessorsEnded);
+    }
+
+    long epoch() {
+        return writer.epoch();
+    }
+
+    /** Makes the leader record of the candidacy, or of the term that it led to. */
+    StoredRecord leaderRecord(boolean resigned, boolean settled) {
+        return JobRecords.leader(leader(resigned, settled));
+    }
+
+    /** Whether a leader record is of the candidacy, or of the term that it led to. */
+    boolean hasWritten(JobRecords.Leader leader) {
+        return leader.equals(leader(leader.resigned(), leader.settled()));
+    }
+
+    private JobRecords.Leader leader(boolean resigned, boolean settled) {
+        return new JobRecords.Leader(holder, epoch(), resigned, settled, id);
+    }
+}
--- a/node/src/main/java/io/cardamomshelf/node/schedule/SchedulerCandidate.java
+++ b/node/src/main/java/io/cardamomshelf/node/schedule/SchedulerCandidate.java
@@ -1,7 +1,6 @@
 package io.cardamomshelf.node.schedule;
 
 import io.cardamomshelf.core.base.WorkerId;
-import io.cardamomshelf.core.schedule.ClockReading;
 import io.cardamomshelf.core.schedule.ElectionTimer;
 import io.cardamomshelf.core.schedule.FleetLoad;
 import io.cardamomshelf.core.schedule.LeaderLease;
@@ -14,10 +13,8 @@
 import io.cardamomshelf.node.metric.ServiceMetrics.Name;
 import io.cardamomshelf.node.port.AppendOutcome;
 import io.cardamomshelf.node.port.KeyedStore;
-import io.cardamomshelf.node.port.KeyedStore.Writer;
 import io.cardamomshelf.node.port.PlacementAdvice;
 import io.cardamomshelf.node.port.RecordDecoder;
-import io.cardamomshelf.node.port.StoredRecord;
 import io.cardamomshelf.node.port.WorkerOrders;
 import io.cardamomshelf.node.settings.NodeSettings;
 import io.cardamomshelf.node.store.JobRecords;
@@ -41,7 +38,9 @@
  *
  * <p>The order of appends in the store decides an election: the first append with an epoch wins it.
  * From then on the store refuses appends of older epochs, and a worker that has seen the new epoch
- * refuses orders of older ones.
+ * refuses orders of older ones. An answer of success doesn't show which append was the first, as
+ * the store answers one with a known sequence number as a repeat. A candidate has won once it reads
+ * its own record.
  *
  * <p>Not thread-safe: belongs to the instance's event loop.
  */
@@ -80,13 +79,6 @@
 
     private static final int MAX_CANDIDACY_ATTEMPTS = 3;
 
-    /**
-     * The bound of the random first sequence number. Two candidates may use the same epoch, and the
-     * store would accept the append of the second one if its number were the next after that of the
-     * first one. The large range makes this unlikely.
-     */
-    private static final int FIRST_SEQUENCE_BOUND = 1 << 30;
-
     private final Timers timers;
     private final KeyedStore store;
     private final WorkerOrders orders;
@@ -102,11 +94,16 @@
     private final OperatorsView operators;
     private JobRecords.Leader lastLeaderRecord;
     private boolean candidacyInFlight;
-    private boolean predecessorsEnded;
     private boolean stopped;
     private long electionOffset = -1;
 
-    /** The term of an election that is won, until all jobs stored before the election are read. */
+    /** The newest candidacy of this process; null before the first. */
+    private Candidacy candidacy;
+
+    /**
+     * The term of a candidacy that the store answered with success, until all jobs stored before
+     * its record are read, and the record shows whether it is of this candidacy.
+     */
     private SchedulerTerm pendingTerm;
 
     /** The current term; null unless this process is the scheduler. */
@@ -195,7 +192,7 @@
                 .emitter(
                         emitter -> {
                             onResigned = () -> emitter.complete(null);
-                            if (!candidacyInFlight) {
+                            if (!candidacyInFlight && pendingTerm == null) {
                                 transferLeadership();
                             }
                         });
@@ -261,7 +258,7 @@
             deposed(term.epoch());
         }
         if (pendingTerm != null && leader.epoch() > pendingTerm.epoch()) {
-            pendingTerm = null;
+            electionMissed(leader);
         }
     }
 
@@ -271,11 +268,25 @@
         beginPendingTerm();
     }
 
-    /** Begins the pending term, if there is one, once its election's record has been read. */
+    /**
+     * Begins the pending term, if there is one, once the record of its election has been read and
+     * is of this process's candidacy.
+     */
     private void beginPendingTerm() {
-        if (pendingTerm != null && jobsPosition.getAsLong() > electionOffset) {
-            term = pendingTerm;
-            pendingTerm = null;
+        if (pendingTerm == null || jobsPosition.getAsLong() <= electionOffset) {
+            return;
+        }
+        if (jobs.leader().filter(candidacy::hasWritten).isEmpty()) {
+            electionMissed(jobs.leader());
+            return;
+        }
+        metrics.count(Name.ELECTIONS, "won");
+        EventLog.of(NodeEvent.LEADERSHIP_WON).with("epoch", candidacy.epoch()).write();
+        term = pendingTerm;
+        pendingTerm = null;
+        if (stopped) {
+            transferLeadership();
+        } else {
             term.begin();
         }
     }
@@ -296,8 +307,7 @@
 
     private void sendHeartbeat() {
         if (term != null) {
-            term.appendHeartbeat(
-                    leaderRecord(term.epoch(), false, term.havePredecessorLeasesLapsed()));
+            term.appendHeartbeat(candidacy.leaderRecord(false, term.havePredecessorLeasesLapsed()));
         }
     }
 
@@ -306,10 +316,11 @@
         boolean ready = operators.configuration().isPresent() && !workers.registered().isEmpty();
         if (electionTimer.isCandidacyDue(clock.now(), available && ready)) {
             candidacyInFlight = true;
-            predecessorsEnded = jobs.leader().map(this::havePredecessorsEnded).orElse(true);
             long epoch = jobs.leader().map(JobRecords.Leader::epoch).orElse(0L) + 1;
-            appendCandidacy(
-                    new Writer(epoch, random.nextInt(FIRST_SEQUENCE_BOUND)), 1, clock.now());
+            boolean predecessorsEnded = jobs.leader().map(this::havePredecessorsEnded).orElse(true);
+            candidacy =
+                    Candidacy.of(settings.name(), epoch, predecessorsEnded, clock.now(), random);
+            appendCandidacy(1);
         }
     }
 
@@ -321,51 +332,49 @@
         return last.settled() && (last.resigned() || last.holder().equals(settings.name()));
     }
 
-    private void appendCandidacy(Writer writer, int attempt, ClockReading sentAt) {
+    private void appendCandidacy(int attempt) {
         store.append(
-                        List.of(leaderRecord(writer.epoch(), false, false)),
-                        Optional.of(writer),
+                        List.of(candidacy.leaderRecord(false, false)),
+                        Optional.of(candidacy.writer()),
                         CANDIDACY_TIMEOUT_MILLIS)
                 .subscribe()
-                .with(outcome -> candidacyAnswered(outcome, writer, attempt, sentAt));
+                .with(outcome -> candidacyAnswered(outcome, attempt));
     }
 
-    private void candidacyAnswered(
-            AppendOutcome outcome, Writer writer, int attempt, ClockReading sentAt) {
+    private void candidacyAnswered(AppendOutcome outcome, int attempt) {
         if (outcome instanceof AppendOutcome.Stored stored) {
             candidacyInFlight = false;
-            metrics.count(Name.ELECTIONS, "won");
-            EventLog.of(NodeEvent.LEADERSHIP_WON).with("epoch", writer.epoch()).write();
-            elected(stored.offset(), writer, sentAt);
+            electionOffset = stored.offset();
+            pendingTerm = createTerm();
+            beginPendingTerm();
         } else if (outcome instanceof AppendOutcome.Unknown && attempt < MAX_CANDIDACY_ATTEMPTS) {
-            appendCandidacy(writer, attempt + 1, sentAt);
+            appendCandidacy(attempt + 1);
         } else {
             candidacyInFlight = false;
-            electionTimer.signReceived(clock.now());
-            metrics.count(Name.ELECTIONS, "missed");
-            EventLog.of(NodeEvent.LEADERSHIP_MISSED)
-                    .with("epoch", writer.epoch())
-                    .with("outcome", outcome)
-                    .write();
-        }
-        if (stopped && !candidacyInFlight) {
-            transferLeadership();
+            electionMissed(outcome);
         }
     }
 
-    /**
-     * Prepares the term of an election that is won. The term begins at once if the follower has
-     * read the record of the election before the append was answered. No term is prepared if
-     * another process has been elected with a higher epoch since.
-     */
-    private void elected(long offset, Writer writer, ClockReading sentAt) {
-        if (jobs.leader().map(JobRecords.Leader::epoch).orElse(0L) > writer.epoch()) {
-            return;
+    /** Returns to waiting for an election after one that this process hasn't won. */
+    private void electionMissed(Object cause) {
+        pendingTerm = null;
+        electionTimer.signReceived(clock.now());
+        metrics.count(Name.ELECTIONS, "missed");
+        EventLog.of(NodeEvent.LEADERSHIP_MISSED)
+                .with("epoch", candidacy.epoch())
+                .with("outcome", cause)
+                .write();
+        if (stopped) {
+            onResigned.run();
         }
-        long epoch = writer.epoch();
+    }
+
+    private SchedulerTerm createTerm() {
+        long epoch = candidacy.epoch();
+        Runnable onDeposed = () -> deposed(epoch);
         SchedulerAppender appender =
                 new SchedulerAppender(
-                        timers, store, epoch, writer.sequence() + 1, () -> deposed(epoch));
+                        timers, store, epoch, candidacy.writer().sequence() + 1, onDeposed);
         SchedulerTermContext context =
                 new SchedulerTermContext(
                         timers,
@@ -375,24 +384,17 @@
                         SchedulerSettings.of(settings.bounds()),
                         metrics,
                         epoch,
-                        new LeaderLease(sentAt, predecessorsEnded));
-        pendingTerm =
-                new SchedulerTerm(
-                        context, appender, jobs, operators, workers, () -> deposed(epoch));
-        electionOffset = offset;
-        if (!stopped) {
-            beginPendingTerm();
-        }
+                        new LeaderLease(candidacy.sentAt(), candidacy.predecessorsEnded()));
+        return new SchedulerTerm(context, appender, jobs, operators, workers, onDeposed);
     }
 
     /**
-     * Stores the resignation of the current or the pending term. A term that hasn't begun resigns
-     * too, as other candidates would wait for its heartbeats otherwise.
+     * Stores the resignation of the current term. A term that hasn't begun resigns too, as other
+     * candidates would wait for its heartbeats otherwise.
      */
     private void transferLeadership() {
-        SchedulerTerm endingTerm = term != null ? term : pendingTerm;
+        SchedulerTerm endingTerm = term;
         term = null;
-        pendingTerm = null;
         if (endingTerm == null) {
             onResigned.run();
             return;
@@ -402,10 +404,8 @@
                 .appender()
                 .append(
                         List.of(
-                                leaderRecord(
-                                        endingTerm.epoch(),
-                                        true,
-                                        endingTerm.havePredecessorLeasesLapsed())),
+                                candidacy.leaderRecord(
+                                        true, endingTerm.havePredecessorLeasesLapsed())),
                         () -> {
                             EventLog.of(NodeEvent.LEADERSHIP_RESIGNED)
                                     .with("epoch", endingTerm.epoch())
@@ -422,8 +422,4 @@
             electionTimer.signReceived(clock.now());
         }
     }
-
-    private StoredRecord leaderRecord(long epoch, boolean resigned, boolean settled) {
-        return JobRecords.leader(new JobRecords.Leader(settings.name(), epoch, resigned, settled));
-    }
 }
--- a/node/src/main/java/io/cardamomshelf/node/store/JobRecords.java
+++ b/node/src/main/java/io/cardamomshelf/node/store/JobRecords.java
@@ -62,8 +62,11 @@
      * @param epoch its fencing token
      * @param resigned whether it has resigned
      * @param settled whether no grant of an earlier scheduler can still be in force
+     * @param candidacy the random identifier of the candidacy that elected it; 0 in records of
+     *     versions that had none
      */
-    public record Leader(String holder, long epoch, boolean resigned, boolean settled) {}
+    public record Leader(
+            String holder, long epoch, boolean resigned, boolean settled, long candidacy) {}
 
     private static final String ACCEPTED = "a:";
     private static final String CANCELLED = "c:";
--- a/node/src/test/java/io/cardamomshelf/node/schedule/SuccessionTest.java
+++ b/node/src/test/java/io/cardamomshelf/node/schedule/SuccessionTest.java
@@ -13,6 +13,7 @@
 import io.cardamomshelf.node.port.KeyedStore.Stream;
 import io.cardamomshelf.node.port.StoredRecord;
 import io.cardamomshelf.node.store.JobRecords;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Random;
 import java.util.function.BooleanSupplier;
@@ -175,6 +176,20 @@
             assertTrue(two.candidate.isLeading());
         }
 
+        /** Guards against a resignation by a process that has lost its election. */
+        @Test
+        void thatLostAnElectionDoNotResignForTheWinner() {
+            storeConfigurationAndWorkers("w1");
+            Process one = new Process("one", 1, new Random(1));
+            Process two = new Process("two", 1, new Random(1));
+            advanceUntil(() -> store.appends == 2);
+            List<Boolean> resigned = new ArrayList<>();
+            two.candidate.resign().subscribe().with(done -> resigned.add(true));
+            time.advance(1_000);
+            assertTrue(one.candidate.isLeading());
+            assertEquals(List.of(true), resigned);
+        }
+
         @Test
         void takeOverAtOnceFromAProcessThatResignsDuringItsElection() {
             storeConfigurationAndWorkers("w1");
