--- a/node/src/test/java/io/cardamomshelf/node/schedule/SuccessionTest.java
+++ b/node/src/test/java/io/cardamomshelf/node/schedule/SuccessionTest.java
@@ -11,6 +11,7 @@
 import io.cardamomshelf.core.task.TaskId;
 import io.cardamomshelf.node.FakeStore.Fault;
 import io.cardamomshelf.node.port.KeyedStore.Stream;
+import io.cardamomshelf.node.port.StoreException;
 import io.cardamomshelf.node.port.StoredRecord;
 import io.cardamomshelf.node.store.JobRecords;
 import java.util.ArrayList;
@@ -178,16 +179,22 @@
 
         /** Guards against a resignation by a process that has lost its election. */
         @Test
-        void thatLostAnElectionDoNotResignForTheWinner() {
+        void thatLostAnElectionDoNotResignForTheWinner() throws StoreException {
             storeConfigurationAndWorkers("w1");
             Process one = new Process("one", 1, new Random(1));
             Process two = new Process("two", 1, new Random(1));
-            advanceUntil(() -> store.appends == 2);
+            advanceUntil(() -> !store.records(Stream.JOBS).isEmpty());
+            time.advance(1);
             List<Boolean> resigned = new ArrayList<>();
             two.candidate.resign().subscribe().with(done -> resigned.add(true));
             time.advance(1_000);
             assertTrue(one.candidate.isLeading());
             assertEquals(List.of(true), resigned);
+            for (StoredRecord record : store.records(Stream.JOBS)) {
+                if (JobRecords.kindOf(record) == JobRecords.Kind.LEADER) {
+                    assertEquals("one", JobRecords.read(record, JobRecords.Leader.class).holder());
+                }
+            }
         }
 
         @Test
