--- a/node/src/test/java/io/cardamomshelf/node/schedule/SchedulingFixture.java
+++ b/node/src/test/java/io/cardamomshelf/node/schedule/SchedulingFixture.java
@@ -1,5 +1,7 @@
 package io.cardamomshelf.node.schedule;
 
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
 import io.cardamomshelf.core.base.DataCentreId;
 import io.cardamomshelf.core.base.Endpoint;
 import io.cardamomshelf.core.base.JobId;
@@ -31,6 +33,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Random;
+import java.util.function.BooleanSupplier;
 import java.util.function.ToLongFunction;
 import java.util.random.RandomGenerator;
 
@@ -147,6 +150,18 @@
         }
     }
 
+    void awaitLeading(Process process) {
+        advanceUntil(process.candidate::isLeading);
+    }
+
+    /** Advances the time until a condition is met, at most ten seconds. */
+    void advanceUntil(BooleanSupplier condition) {
+        for (int i = 0; i < 10_000 && !condition.getAsBoolean(); i++) {
+            time.advance(1);
+        }
+        assertTrue(condition.getAsBoolean());
+    }
+
     /** Sets the longest lease that workers grant, for processes created later. */
     void setMaxLease(long millis) {
         maxLeaseMillis = millis;
--- a/node/src/test/java/io/cardamomshelf/node/schedule/SuccessionTest.java
+++ b/node/src/test/java/io/cardamomshelf/node/schedule/SuccessionTest.java
@@ -17,7 +17,6 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Random;
-import java.util.function.BooleanSupplier;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 
@@ -31,17 +30,6 @@
     private static final JobId SECOND = JobId.of("00000000000000ab");
     private static final JobId THIRD = JobId.of("00000000000000ac");
 
-    private void awaitLeading(Process process) {
-        advanceUntil(process.candidate::isLeading);
-    }
-
-    private void advanceUntil(BooleanSupplier condition) {
-        for (int i = 0; i < 10_000 && !condition.getAsBoolean(); i++) {
-            time.advance(1);
-        }
-        assertTrue(condition.getAsBoolean());
-    }
-
     /** All instances lose power at the same time, and start again some seconds later. */
     @Nested
     class RestartOfAllInstances {
