Complete a resignation when another scheduler is elected during it

What callers saw: nothing.

Cause: a scheduler that is deposed while its resignation is appended closes the appender, which discards the callback. resign() promised to complete.

Fix: a stopped candidate that is deposed completes its resignation.

Evidence: thatAreDeposedWhileTheyResignCompleteTheResignation fails before (not completed 3 s after the next scheduler's record) and passes. SuccessionTest passes.

--- a/node/src/main/java/io/cardamomshelf/node/schedule/SchedulerCandidate.java
+++ b/node/src/main/java/io/cardamomshelf/node/schedule/SchedulerCandidate.java
@@ -184,7 +184,8 @@
      * Transfers leadership if this process is or is about to be elected, and doesn't run for
      * election any more.
      *
-     * @return completes once the resignation is stored, or at once if there is nothing to transfer
+     * @return completes once the resignation is stored or another scheduler has been elected, or at
+     *     once if there is nothing to transfer
      */
     public Uni<Void> resign() {
         stopped = true;
@@ -434,5 +435,8 @@
             term = null;
             electionTimer.signReceived(clock.now());
         }
+        if (stopped) {
+            onResigned.run();
+        }
     }
 }
--- a/node/src/test/java/io/cardamomshelf/node/schedule/ElectionTest.java
+++ b/node/src/test/java/io/cardamomshelf/node/schedule/ElectionTest.java
@@ -1,13 +1,19 @@
 package io.cardamomshelf.node.schedule;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.cardamomshelf.node.FakeStore.Fault;
+import io.cardamomshelf.node.port.KeyedStore.Writer;
+import io.cardamomshelf.node.store.JobRecords;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 
-/** Tests elections whose appends get no answer. */
+/** Tests elections and resignations whose appends get no answer or a refusal. */
 class ElectionTest extends SchedulingFixture {
 
     /** Well below the time without heartbeats that leads to an election, in milliseconds. */
@@ -33,4 +39,32 @@
             assertTrue(one.candidate.isLeading());
         }
     }
+
+    @Nested
+    class Schedulers {
+
+        /** Guards against a resignation that never completes. */
+        @Test
+        void thatAreDeposedWhileTheyResignCompleteTheResignation() {
+            storeConfigurationAndWorkers("w1");
+            Process one = new Process("one");
+            awaitLeading(one);
+            store.fault = Fault.UNRESPONSIVE;
+            List<Boolean> resigned = new ArrayList<>();
+            one.candidate.resign().subscribe().with(done -> resigned.add(true));
+            time.advance(1_000);
+            assertEquals(List.of(), resigned);
+            store.fault = Fault.NONE;
+            store.append(
+                            List.of(
+                                    JobRecords.leader(
+                                            new JobRecords.Leader("two", 2, false, false, 1))),
+                            Optional.of(new Writer(2, 0)),
+                            1_000)
+                    .subscribe()
+                    .with(outcome -> {});
+            time.advance(3_000);
+            assertEquals(List.of(true), resigned);
+        }
+    }
 }
