--- a/node/src/main/java/io/cardamomshelf/node/schedule/Candidacy.java
+++ b/node/src/main/java/io/cardamomshelf/node/schedule/Candidacy.java
@@ -12,9 +12,9 @@
  * <p>Immutable and thread-safe.
  *
  * @param holder the name of the process's node, not null
- * @param id distinguishes the candidacies of processes of that node; random
+ * @param id a random number that distinguishes the candidacies of that node
  * @param writer identifies the append that stores its record, not null
- * @param sentAt when that was first sent, not null
+ * @param sentAt when that append was first sent, not null
  * @param predecessorsEnded whether no earlier scheduler grants leases any more
  */
 record Candidacy(
@@ -24,9 +24,9 @@
     private static final long FIRST_SEQUENCE_BOUND = 1L << 30;
 
     /**
-     * The distance between first sequence numbers: more than the appends of a term. The store would
-     * accept the append of a second candidate for an epoch if its sequence number were the next
-     * after one of the first one's.
+     * The distance between first sequence numbers. The store would accept the append of a second
+     * candidate for an epoch if its sequence number were the next after one of the first one's. The
+     * distance rules that out for the first million appends of a term.
      */
     private static final long FIRST_SEQUENCE_STEP = 1L << 20;
 
@@ -51,7 +51,10 @@
         return JobRecords.leader(leader(resigned, settled));
     }
 
-    /** Whether a leader record is of the candidacy, or of the term that it led to. */
+    /**
+     * Returns whether a leader record is of this candidacy, or of the term that it led to. An
+     * answer of the store can't show that, as it may be the answer to another candidate's append.
+     */
     boolean hasWritten(JobRecords.Leader leader) {
         return leader.equals(leader(leader.resigned(), leader.settled()));
     }
