--- a/node/src/main/java/io/cardamomshelf/node/schedule/SchedulerCandidate.java
+++ b/node/src/main/java/io/cardamomshelf/node/schedule/SchedulerCandidate.java
@@ -184,7 +184,8 @@
      * Transfers leadership if this process is or is about to be elected, and doesn't run for
      * election any more.
      *
-     * @return completes once the resignation is stored, or at once if there is nothing to transfer
+     * @return completes once the resignation is stored or another scheduler has been elected, or at
+     *     once if there is nothing to transfer
      */
     public Uni<Void> resign() {
         stopped = true;
@@ -359,6 +360,9 @@
     private void electionMissed(Object cause) {
         pendingTerm = null;
         electionTimer.signReceived(clock.now());
+        if (jobs.leader().filter(this::hasEndedSinceCandidacy).isPresent()) {
+            electionTimer.schedulerResigned();
+        }
         metrics.count(Name.ELECTIONS, "missed");
         EventLog.of(NodeEvent.LEADERSHIP_MISSED)
                 .with("epoch", candidacy.epoch())
@@ -369,6 +373,16 @@
         }
     }
 
+    /**
+     * Returns whether the election for which this process was a candidate, or a later one, led to
+     * no scheduler or to one that has resigned. If the record has this node's name, its append was
+     * stored but counts as unanswered.
+     */
+    private boolean hasEndedSinceCandidacy(JobRecords.Leader last) {
+        return last.epoch() >= candidacy.epoch()
+                && (last.resigned() || last.holder().equals(settings.name()));
+    }
+
     private SchedulerTerm createTerm() {
         long epoch = candidacy.epoch();
         Runnable onDeposed = () -> deposed(epoch);
@@ -421,5 +435,8 @@
             term = null;
             electionTimer.signReceived(clock.now());
         }
+        if (stopped) {
+            onResigned.run();
+        }
     }
 }
