Report reloaded jobs to the scheduler only once all their records are loaded

A scheduler that loads the jobs' stream again during its term ran jobs a second time that had ended.

Cause: after the history that it had yet to read has expired, the stream's follower replaces the view by the newest record of each key, in the order of their offsets. The acceptance of a job comes before its progress, and was reported to the term at once, as a job without progress. The term had forgotten the job some seconds after its end, so it added it as a new one, and started its tasks.

Evidence: TakeoverViewTest$JobsLoadedAgain#duringATermDoNotRunAgain failed before ("expected: <COMPLETED> but was: <RUNNING>") and passes now.

Why it works: while the view is replaced no job is reported; after that every accepted job is, with its stored progress, and the term ignores those that have ended. Cancellations that were read only then are still reported.

Its runs overlap, and belong to two schedulers; this fault repeats ended runs of one.

--- a/node/src/main/java/io/cardamomshelf/node/store/JobsView.java
+++ b/node/src/main/java/io/cardamomshelf/node/store/JobsView.java
@@ -105,6 +105,7 @@
     private Map<JobId, Entry> entries = new LinkedHashMap<>();
     private JobRecords.Leader leader;
     private Roster roster = new Roster();
+    private boolean replacing;
 
     /**
      * Creates an empty view.
@@ -171,7 +172,13 @@
         ordered.sort((a, b) -> Long.compare(a.offset(), b.offset()));
         entries = new LinkedHashMap<>();
         roster = new Roster();
-        ordered.forEach(this::apply);
+        replacing = true;
+        try {
+            ordered.forEach(this::apply);
+        } finally {
+            replacing = false;
+        }
+        acceptedJobs().forEach(listener::jobChanged);
     }
 
     @Override
@@ -215,7 +222,7 @@
         Entry entry = entryOf(record);
         if (entry.job == null) {
             entry.job = JobRecords.read(record, TaskJob.class);
-            listener.jobChanged(entry);
+            reportChange(entry);
         }
     }
 
@@ -225,7 +232,12 @@
         }
         Entry entry = entryOf(record);
         entry.cancelled = true;
-        if (entry.job != null) {
+        reportChange(entry);
+    }
+
+    /** Reports a change of a job, but not while its other records may not have been loaded yet. */
+    private void reportChange(Entry entry) {
+        if (entry.job != null && !replacing) {
             listener.jobChanged(entry);
         }
     }
--- /dev/null
+++ b/node/src/test/java/io/cardamomshelf/node/schedule/TakeoverViewTest.java
@@ -0,0 +1,48 @@
+package io.cardamomshelf.node.schedule;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.cardamomshelf.core.base.JobId;
+import io.cardamomshelf.core.task.JobState;
+import io.cardamomshelf.core.task.RunEnd;
+import io.cardamomshelf.node.FakeStore.Fault;
+import io.cardamomshelf.node.port.KeyedStore.Stream;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+/** Tests schedulers whose views of the jobs or the workers were loaded again, or differ. */
+class TakeoverViewTest extends SchedulingFixture {
+
+    private static final JobId SECOND = JobId.of("00000000000000ab");
+
+    @Nested
+    class JobsLoadedAgain {
+
+        /** Longer than the scheduler takes to forget an ended job, in milliseconds. */
+        private static final long CLEANUP_MILLIS = 6_000;
+
+        /** Guards against a second run of tasks whose jobs have ended. */
+        @Test
+        void duringATermDoNotRunAgain() {
+            storeConfigurationAndWorkers("w1");
+            Process one = new Process("one");
+            time.advance(4_000);
+            submit(1, false);
+            time.advance(1_000);
+            workers.finish("w1", TASK, RunEnd.DONE);
+            time.advance(CLEANUP_MILLIS);
+            assertEquals(JobState.COMPLETED, one.state());
+            store.fault = Fault.UNRESPONSIVE;
+            time.advance(3_000);
+            submit(SECOND, 1, false);
+            store.dropHistory(Stream.JOBS);
+            store.fault = Fault.NONE;
+            time.advance(3_000);
+            assertTrue(one.candidate.isLeading());
+            assertEquals(JobState.COMPLETED, one.state());
+            assertEquals(2, workers.starts.size());
+            assertEquals(SECOND, workers.starts.get(1).task().job());
+        }
+    }
+}
