Count the majority of a scheduler without the store among the stored workers

Cause: a scheduler that is cut off from the store renews leases while most of the workers answer, and its successor treats them as lapsed once most of the workers have answered it. Each counted the workers registered in its own view. Workers that are cut off together with the scheduler disappear from the registry, so the successor had a majority of the others only, while the old scheduler still had a majority of its older view. No worker was in both, and none refused the old token.

Evidence: TakeoverViewTest$RegistryEntriesThatExpired failed before: the eight tasks of the cut off worker all ran twice 7.4 s after the takeover (1016525 in virtual time). It passes now, and they run on the third worker once the leases have lapsed. Passed: LeaderLeaseTest, Succession*Test, Scheduling*Test, WorkerRestart*Test.

Why it works: both count the workers stored in the roster. Whatever the old scheduler has stored is known to its successor, and after the election nothing of it is stored any more. Records whose append hasn't been answered may or may not be stored, so the old scheduler needs more than half of the most that may be (Voters).

A majority of the roster may have been lost together with the scheduler. Its successor would wait for ever, so a scheduler without the store grants leases for 30 s at most, and a successor without a majority waits that long. Runs now lapse in outages of the store that are longer than 30 s. LeaderLeaseTest had a step that expected a predecessor without majority to count for ever; it's replaced by exact bounds for both ways (majority: 2 s and a lease; none: 30 s and a lease).

Ruled out: a fixed shorter time for all (an outage test of 20 s keeps its run).

--- a/core/src/main/java/io/cardamomshelf/core/schedule/LeaderLease.java
+++ b/core/src/main/java/io/cardamomshelf/core/schedule/LeaderLease.java
@@ -1,7 +1,6 @@
 package io.cardamomshelf.core.schedule;
 
 import io.cardamomshelf.core.base.WorkerId;
-import java.util.Collection;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.function.Supplier;
@@ -17,9 +16,10 @@
  *
  * <p>Safety: a successor is elected only if no sign of the scheduler has appeared in the store for
  * an election timeout. That timeout may be shorter than the validity of a proof, but by half a
- * second at most. Without the store, a scheduler needs recent answers from a majority of the
+ * second at most. Without the store, a scheduler needs recent answers from a majority of the stored
  * workers. Its successor has to reach a majority too, so at least one worker is in both and refuses
- * the older token.
+ * the older token. A successor that doesn't reach a majority waits until the scheduler can't grant
+ * leases without the store any more.
  *
  * <p>Limits: a lost store can't be distinguished from a lost path to it, so both are handled by
  * asking the workers. Not thread-safe: used only on the instance's event loop.
@@ -32,11 +32,18 @@
     /** The age of the last stored append at which workers are asked too, in milliseconds. */
     private static final long ASK_WORKERS_AGE_MILLIS = 1_000;
 
+    /**
+     * How long a scheduler may grant leases without the store, in milliseconds: longer than most
+     * outages. Runs lapse in longer ones; a successor that doesn't reach most workers waits for it.
+     */
+    private static final long MAX_WITHOUT_STORE_MILLIS = 30_000;
+
     private static final long NEVER = Long.MIN_VALUE;
 
     private final Map<WorkerId, ClockReading> lastAnswers = new HashMap<>();
     private final boolean predecessorsEnded;
     private ClockReading lastAppend;
+    private long firstCheckMillis = NEVER;
     private long majorityAnsweredMillis = NEVER;
 
     /**
@@ -87,24 +94,22 @@
      * Returns whether a lease may be granted now.
      *
      * @param now the time, not null
-     * @param workers supplies the registered workers, and is called only if the store's proof is no
+     * @param voters supplies the stored workers, and is called only if the store's proof is no
      *     longer valid, not null
      * @return true if no successor can treat the lease as lapsed before it has lapsed
      */
-    public boolean mayGrant(ClockReading now, Supplier<? extends Collection<WorkerId>> workers) {
-        if (now.maxMillisSince(lastAppend) < PROOF_VALID_MILLIS) {
+    public boolean mayGrant(ClockReading now, Supplier<Voters> voters) {
+        long proofAgeMillis = now.maxMillisSince(lastAppend);
+        if (proofAgeMillis < PROOF_VALID_MILLIS) {
             return true;
         }
-        Collection<WorkerId> registered = workers.get();
-        long fresh =
-                registered.stream()
-                        .map(lastAnswers::get)
-                        .filter(
-                                sent ->
-                                        sent != null
-                                                && now.maxMillisSince(sent) < PROOF_VALID_MILLIS)
-                        .count();
-        return fresh * 2 > registered.size();
+        return proofAgeMillis < MAX_WITHOUT_STORE_MILLIS
+                && voters.get().hasMajority(worker -> hasAnsweredLately(worker, now));
+    }
+
+    private boolean hasAnsweredLately(WorkerId worker, ClockReading now) {
+        ClockReading sent = lastAnswers.get(worker);
+        return sent != null && now.maxMillisSince(sent) < PROOF_VALID_MILLIS;
     }
 
     /**
@@ -112,15 +117,15 @@
      * can't grant leases after that for longer than a proof is valid.
      *
      * @param now the time, not null
-     * @param workers supplies the registered workers, and is called only until the majority has
-     *     answered, not null
+     * @param voters the workers that the earlier scheduler has stored, not null
      */
-    public void updateMajority(ClockReading now, Supplier<? extends Collection<WorkerId>> workers) {
-        if (majorityAnsweredMillis == NEVER) {
-            Collection<WorkerId> registered = workers.get();
-            long answered = registered.stream().filter(lastAnswers::containsKey).count();
-            boolean isMajority = answered * 2 > registered.size();
-            majorityAnsweredMillis = isMajority ? now.monotonicMillis() : NEVER;
+    public void updateMajority(ClockReading now, Voters voters) {
+        if (firstCheckMillis == NEVER) {
+            firstCheckMillis = now.monotonicMillis();
+        }
+        boolean answered = voters.maxCount() == 0 || voters.hasMajority(lastAnswers::containsKey);
+        if (majorityAnsweredMillis == NEVER && answered) {
+            majorityAnsweredMillis = now.monotonicMillis();
         }
     }
 
@@ -135,8 +140,19 @@
         if (predecessorsEnded) {
             return true;
         }
-        long maxGrantMillis = PROOF_VALID_MILLIS + LeaseClock.worstCaseMillis(leaseMillis);
-        return majorityAnsweredMillis != NEVER
-                && now.monotonicMillis() - majorityAnsweredMillis >= maxGrantMillis;
+        long lastGrantMillis = lastPredecessorGrantMillis();
+        return lastGrantMillis != NEVER
+                && now.monotonicMillis() - lastGrantMillis
+                        >= LeaseClock.worstCaseMillis(leaseMillis);
+    }
+
+    /** Returns until when an earlier scheduler may grant leases, on the monotonic clock. */
+    private long lastPredecessorGrantMillis() {
+        if (majorityAnsweredMillis != NEVER) {
+            return Math.min(
+                    majorityAnsweredMillis + PROOF_VALID_MILLIS,
+                    firstCheckMillis + MAX_WITHOUT_STORE_MILLIS);
+        }
+        return firstCheckMillis == NEVER ? NEVER : firstCheckMillis + MAX_WITHOUT_STORE_MILLIS;
     }
 }
--- a/core/src/test/java/io/cardamomshelf/core/schedule/LeaderLeaseTest.java
+++ b/core/src/test/java/io/cardamomshelf/core/schedule/LeaderLeaseTest.java
@@ -5,6 +5,7 @@
 
 import io.cardamomshelf.core.base.WorkerId;
 import java.util.List;
+import java.util.Set;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 
@@ -14,7 +15,7 @@
     private static final WorkerId W1 = WorkerId.of("w1");
     private static final WorkerId W2 = WorkerId.of("w2");
     private static final WorkerId W3 = WorkerId.of("w3");
-    private static final List<WorkerId> ALL = List.of(W1, W2, W3);
+    private static final Voters ALL = Voters.of(List.of(W1, W2, W3));
     private static final long LEASE_MILLIS = 5_000;
 
     private final LeaderLease leaderLease = new LeaderLease(at(0), false);
@@ -45,7 +46,26 @@
         @Test
         void areRefusedIfOnlyHalfOfTheWorkersAnswer() {
             leaderLease.recordWorkerAnswer(W1, at(9_000));
-            assertFalse(leaderLease.mayGrant(at(10_000), () -> List.of(W1, W2)));
+            assertFalse(leaderLease.mayGrant(at(10_000), () -> Voters.of(List.of(W1, W2))));
+        }
+
+        @Test
+        void areRefusedUnlessMostOfAllWorkersThatMayBeStoredAnswer() {
+            leaderLease.recordWorkerAnswer(W1, at(9_000));
+            leaderLease.recordWorkerAnswer(W2, at(9_000));
+            Set<WorkerId> stored = ALL.stored();
+            assertTrue(leaderLease.mayGrant(at(10_000), () -> new Voters(stored, 3)));
+            assertFalse(leaderLease.mayGrant(at(10_000), () -> new Voters(stored, 4)));
+        }
+
+        @Test
+        void areRefusedOnceTheStoreHasAcceptedNoAppendForLong() {
+            for (long millis : new long[] {29_000, 29_900}) {
+                leaderLease.recordWorkerAnswer(W1, at(millis));
+                leaderLease.recordWorkerAnswer(W2, at(millis));
+            }
+            assertTrue(leaderLease.mayGrant(at(29_999), () -> ALL));
+            assertFalse(leaderLease.mayGrant(at(30_000), () -> ALL));
         }
 
         @Test
@@ -68,17 +88,28 @@
         @Test
         void hasEndedOnceMostWorkersHaveReportedAndItsLastGrantHasLapsed() {
             leaderLease.recordWorkerAnswer(W1, at(1_000));
-            leaderLease.updateMajority(at(1_000), () -> ALL);
-            assertFalse(leaderLease.havePredecessorLeasesLapsed(at(60_000), LEASE_MILLIS));
-            leaderLease.recordWorkerAnswer(W2, at(60_000));
-            leaderLease.updateMajority(at(60_100), () -> ALL);
+            leaderLease.updateMajority(at(1_000), ALL);
+            assertFalse(leaderLease.havePredecessorLeasesLapsed(at(10_000), LEASE_MILLIS));
+            leaderLease.recordWorkerAnswer(W2, at(10_000));
+            leaderLease.updateMajority(at(10_100), ALL);
             long longestGrantMillis = 2_000 + LeaseClock.worstCaseMillis(LEASE_MILLIS);
             assertFalse(
                     leaderLease.havePredecessorLeasesLapsed(
-                            at(60_099 + longestGrantMillis), LEASE_MILLIS));
+                            at(10_099 + longestGrantMillis), LEASE_MILLIS));
             assertTrue(
                     leaderLease.havePredecessorLeasesLapsed(
-                            at(60_100 + longestGrantMillis), LEASE_MILLIS));
+                            at(10_100 + longestGrantMillis), LEASE_MILLIS));
+        }
+
+        @Test
+        void hasEndedWithoutMostWorkersOnceItCouldNotGrantWithoutTheStore() {
+            leaderLease.recordWorkerAnswer(W1, at(1_000));
+            leaderLease.updateMajority(at(1_000), ALL);
+            leaderLease.updateMajority(at(2_000), ALL);
+            long lapsedMillis = 1_000 + 30_000 + LeaseClock.worstCaseMillis(LEASE_MILLIS);
+            assertFalse(
+                    leaderLease.havePredecessorLeasesLapsed(at(lapsedMillis - 1), LEASE_MILLIS));
+            assertTrue(leaderLease.havePredecessorLeasesLapsed(at(lapsedMillis), LEASE_MILLIS));
         }
 
         @Test
--- a/node/src/main/java/io/cardamomshelf/node/schedule/RosterWriter.java
+++ b/node/src/main/java/io/cardamomshelf/node/schedule/RosterWriter.java
@@ -3,12 +3,14 @@
 import io.cardamomshelf.core.base.Endpoint;
 import io.cardamomshelf.core.base.WorkerId;
 import io.cardamomshelf.core.schedule.SchedulerState;
+import io.cardamomshelf.core.schedule.Voters;
 import io.cardamomshelf.core.schedule.WorkerInfo;
 import io.cardamomshelf.node.store.JobRecords;
 import io.cardamomshelf.node.store.Roster;
 import io.cardamomshelf.node.store.SchedulerAppender;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -29,6 +31,7 @@
     private final Runnable onChange;
     private final Map<WorkerId, Endpoint> storedEndpoints = new HashMap<>();
     private final Map<WorkerId, Endpoint> sentEndpoints = new HashMap<>();
+    private final Set<WorkerId> beingDropped = new HashSet<>();
 
     RosterWriter(SchedulerAppender appender, SchedulerState state, Runnable onChange) {
         this.appender = appender;
@@ -53,13 +56,23 @@
         }
     }
 
+    /** Returns the stored workers, and how many may be stored once all appends are answered. */
+    Voters voters() {
+        Set<WorkerId> all = new HashSet<>(storedEndpoints.keySet());
+        all.addAll(sentEndpoints.keySet());
+        all.addAll(beingDropped);
+        return new Voters(storedEndpoints.keySet(), all.size());
+    }
+
     /** Drops the stored workers that aren't registered and can't have runs any more. */
     void dropUnregistered(Set<WorkerId> registered) {
         for (WorkerId id : new ArrayList<>(storedEndpoints.keySet())) {
             if (!registered.contains(id) && !state.mayHaveRuns(id) && !state.needsPolling(id)) {
                 storedEndpoints.remove(id);
                 sentEndpoints.remove(id);
-                appender.append(List.of(JobRecords.workerDropped(id)), () -> {});
+                beingDropped.add(id);
+                appender.append(
+                        List.of(JobRecords.workerDropped(id)), () -> beingDropped.remove(id));
             }
         }
     }
--- a/node/src/main/java/io/cardamomshelf/node/schedule/SchedulerTerm.java
+++ b/node/src/main/java/io/cardamomshelf/node/schedule/SchedulerTerm.java
@@ -8,6 +8,7 @@
 import io.cardamomshelf.core.schedule.LeaseClock;
 import io.cardamomshelf.core.schedule.Order;
 import io.cardamomshelf.core.schedule.SchedulerState;
+import io.cardamomshelf.core.schedule.Voters;
 import io.cardamomshelf.core.schedule.WorkerInfo;
 import io.cardamomshelf.core.schedule.WorkerReports;
 import io.cardamomshelf.core.task.JobProgress;
@@ -72,6 +73,9 @@
     private boolean takingOver = true;
     private boolean granting = true;
 
+    /** The workers that earlier schedulers have stored. */
+    private Voters inheritedVoters = Voters.of(Set.of());
+
     SchedulerTerm(
             SchedulerTermContext context,
             SchedulerAppender appender,
@@ -96,6 +100,7 @@
     void begin() {
         configure();
         rosterWriter.load(jobs.roster());
+        inheritedVoters = rosterWriter.voters();
         for (JobsView.Entry entry : jobs.acceptedJobs()) {
             if (entry.storedProgress().isPresent()) {
                 roundReporter.markStarted(entry.job().orElseThrow().id());
@@ -201,7 +206,7 @@
 
     @Override
     public boolean mayGrant() {
-        return context.leaderLease().mayGrant(context.clock().now(), this::registeredWorkers);
+        return context.leaderLease().mayGrant(context.clock().now(), rosterWriter::voters);
     }
 
     @Override
@@ -229,7 +234,7 @@
         // Scheduled first, so that an unexpected error doesn't end the ticks.
         context.timers().after(TICK_INTERVAL_MILLIS, this::tick);
         stateChanged();
-        context.leaderLease().updateMajority(context.clock().now(), this::registeredWorkers);
+        context.leaderLease().updateMajority(context.clock().now(), inheritedVoters);
         if (context.leaderLease().needsWorkerAnswers(context.clock().now())) {
             links.values().forEach(WorkerLink::renewIfNeeded);
         }
--- a/node/src/test/java/io/cardamomshelf/node/schedule/TakeoverViewTest.java
+++ b/node/src/test/java/io/cardamomshelf/node/schedule/TakeoverViewTest.java
@@ -4,10 +4,13 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.cardamomshelf.core.base.JobId;
+import io.cardamomshelf.core.base.WorkerId;
 import io.cardamomshelf.core.task.JobState;
 import io.cardamomshelf.core.task.RunEnd;
 import io.cardamomshelf.node.FakeStore.Fault;
 import io.cardamomshelf.node.port.KeyedStore.Stream;
+import io.cardamomshelf.node.port.StoredRecord;
+import java.util.List;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 
@@ -45,4 +48,33 @@
             assertEquals(SECOND, workers.starts.get(1).task().job());
         }
     }
+
+    @Nested
+    class RegistryEntriesThatExpired {
+
+        /** Guards against two schedulers that each have a majority of other workers. */
+        @Test
+        void doNotLetTheSuccessorIgnoreThePredecessorsWorkers() {
+            storeConfigurationAndWorkers("w1", "w2", "w3");
+            Process one = new Process("one");
+            time.advance(4_000);
+            for (int i = 0; i < 8; i++) {
+                submitSmall(JobId.of(String.format("%016x", 0xb00 + i)));
+            }
+            time.advance(1_000);
+            Process two = new Process("two");
+            time.advance(1_000);
+            one.links.disconnectStore();
+            one.links.disconnectWorker("w3");
+            time.advance(1_000);
+            for (String name : List.of("w1", "w2")) {
+                two.links.disconnectWorker(name);
+                store.write(Stream.WORKERS, StoredRecord.tombstone(name));
+            }
+            time.advance(60_000);
+            assertTrue(two.candidate.isLeading());
+            assertEquals(List.of(), workers.overlaps);
+            assertEquals(8, workers.running().get(WorkerId.of("w3")).size());
+        }
+    }
 }
