--- a/node/src/test/java/io/cardamomshelf/node/FakeStore.java
+++ b/node/src/test/java/io/cardamomshelf/node/FakeStore.java
@@ -12,6 +12,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.TreeMap;
 import java.util.function.Supplier;
 
 /** A store in memory that may refuse calls, lose answers, append late or drop its history. */
@@ -53,6 +54,9 @@
     /** The share of the requested wait for which a read at the end of a stream waits. */
     public double waitShare = 0.1;
 
+    /** The records in a page of the newest ones; pages are read at different times. */
+    public int pageSize = Integer.MAX_VALUE;
+
     /** The time that a read takes beyond its wait, in milliseconds. */
     public long readMillis = CALL_MILLIS;
 
@@ -151,12 +155,18 @@
         if (fault == Fault.UNRESPONSIVE || fault == Fault.REFUSING) {
             return failAfter(CALL_MILLIS);
         }
-        Map<String, StoredRecord> newest = new LinkedHashMap<>();
+        return completeAfter(CALL_MILLIS, () -> page(stream, after));
+    }
+
+    private NewestPage page(Stream stream, String after) {
+        TreeMap<String, StoredRecord> newest = new TreeMap<>();
         streams.get(stream).forEach(record -> newest.put(record.key(), record));
         newest.values().removeIf(StoredRecord::isTombstone);
-        long end = streams.get(stream).size();
-        return completeAfter(
-                CALL_MILLIS, () -> new NewestPage(List.copyOf(newest.values()), true, end));
+        List<StoredRecord> rest = List.copyOf(newest.tailMap(after, false).values());
+        return new NewestPage(
+                rest.subList(0, Math.min(pageSize, rest.size())),
+                rest.size() <= pageSize,
+                streams.get(stream).size());
     }
 
     private <T> Uni<T> failAfter(long millis) {
--- a/node/src/test/java/io/cardamomshelf/node/schedule/FakeWorkers.java
+++ b/node/src/test/java/io/cardamomshelf/node/schedule/FakeWorkers.java
@@ -107,6 +107,9 @@
     /** Each start of a task after an end as done was acknowledged, with its time. */
     final List<String> repeats = new ArrayList<>();
 
+    /** Called after each start that was carried out. */
+    Runnable onStart = () -> {};
+
     private final Set<TaskId> acknowledgedDone = new HashSet<>();
 
     FakeWorkers(VirtualTime time) {
@@ -217,6 +220,7 @@
         extendLease(worker, leaseEndMillis);
         worker.highestRuns.put(start.task(), start.run());
         worker.running.put(start.task(), start.run());
+        onStart.run();
         return reply(worker, Answer.DONE);
     }
 
--- a/node/src/test/java/io/cardamomshelf/node/schedule/NodeLinks.java
+++ b/node/src/test/java/io/cardamomshelf/node/schedule/NodeLinks.java
@@ -19,13 +19,15 @@
 final class NodeLinks implements KeyedStore, WorkerOrders {
 
     private final VirtualTime time;
+    private final ProcessTime processTime;
     private final KeyedStore store;
     private final WorkerOrders workers;
     private final Set<WorkerId> disconnectedWorkers = new HashSet<>();
     private boolean storeDisconnected;
 
-    NodeLinks(VirtualTime time, KeyedStore store, WorkerOrders workers) {
+    NodeLinks(VirtualTime time, ProcessTime processTime, KeyedStore store, WorkerOrders workers) {
         this.time = time;
+        this.processTime = processTime;
         this.store = store;
         this.workers = workers;
     }
@@ -34,6 +36,11 @@
         storeDisconnected = true;
     }
 
+    void reconnectAll() {
+        storeDisconnected = false;
+        disconnectedWorkers.clear();
+    }
+
     /** Disconnects the store and the workers, as if the process had died. */
     void disconnectAll(String... workerNames) {
         disconnectStore();
@@ -47,34 +54,39 @@
     @Override
     public Uni<AppendOutcome> append(
             List<StoredRecord> records, Optional<Writer> writer, long timeoutMillis) {
-        return storeDisconnected
-                ? answerAfter(timeoutMillis, new AppendOutcome.Unknown("disconnected"))
-                : store.append(records, writer, timeoutMillis);
+        return processTime.deliver(
+                storeDisconnected
+                        ? answerAfter(timeoutMillis, new AppendOutcome.Unknown("disconnected"))
+                        : store.append(records, writer, timeoutMillis));
     }
 
     @Override
     public Uni<Tail> read(Stream stream, long from, long waitMillis) {
-        return storeDisconnected ? failAfter(waitMillis) : store.read(stream, from, waitMillis);
+        return processTime.deliver(
+                storeDisconnected ? failAfter(waitMillis) : store.read(stream, from, waitMillis));
     }
 
     @Override
     public Uni<NewestPage> newest(Stream stream, String after) {
-        return storeDisconnected ? failAfter(1_000) : store.newest(stream, after);
+        return processTime.deliver(
+                storeDisconnected ? failAfter(1_000) : store.newest(stream, after));
     }
 
     @Override
     public Uni<Reply> start(
             Target target, Order.Start start, long leaseEndMillis, long token, long timeoutMillis) {
-        return disconnectedWorkers.contains(target.id())
-                ? answerAfter(timeoutMillis, noReply())
-                : workers.start(target, start, leaseEndMillis, token, timeoutMillis);
+        return processTime.deliver(
+                disconnectedWorkers.contains(target.id())
+                        ? answerAfter(timeoutMillis, noReply())
+                        : workers.start(target, start, leaseEndMillis, token, timeoutMillis));
     }
 
     @Override
     public Uni<Reply> stop(Target target, Order.Stop stop, long token, long timeoutMillis) {
-        return disconnectedWorkers.contains(target.id())
-                ? answerAfter(timeoutMillis, noReply())
-                : workers.stop(target, stop, token, timeoutMillis);
+        return processTime.deliver(
+                disconnectedWorkers.contains(target.id())
+                        ? answerAfter(timeoutMillis, noReply())
+                        : workers.stop(target, stop, token, timeoutMillis));
     }
 
     @Override
@@ -85,13 +97,19 @@
             long waitMillis,
             long token,
             long timeoutMillis) {
-        return disconnectedWorkers.contains(target.id())
-                ? answerAfter(
-                        timeoutMillis,
-                        RenewalReply.withoutLists(
-                                Answer.UNKNOWN, OptionalLong.empty(), "disconnected"))
-                : workers.renewLease(
-                        target, leaseEndMillis, acknowledgement, waitMillis, token, timeoutMillis);
+        return processTime.deliver(
+                disconnectedWorkers.contains(target.id())
+                        ? answerAfter(
+                                timeoutMillis,
+                                RenewalReply.withoutLists(
+                                        Answer.UNKNOWN, OptionalLong.empty(), "disconnected"))
+                        : workers.renewLease(
+                                target,
+                                leaseEndMillis,
+                                acknowledgement,
+                                waitMillis,
+                                token,
+                                timeoutMillis));
     }
 
     private static Reply noReply() {
--- a/node/src/test/java/io/cardamomshelf/node/schedule/SchedulingFixture.java
+++ b/node/src/test/java/io/cardamomshelf/node/schedule/SchedulingFixture.java
@@ -47,6 +47,7 @@
     final FakeWorkers workers = new FakeWorkers(time);
     private final Decoder decoder = new Decoder();
     private long maxLeaseMillis = 10_000;
+    private long stateKeptMillis = 120_000;
 
     /**
      * Decodes the test's records: a worker's key is its name, its value its incarnation, and each
@@ -88,7 +89,8 @@
         private final OperatorsView operators;
         private final List<StreamFollower> followers = new ArrayList<>();
         final SchedulerCandidate candidate;
-        final NodeLinks links = new NodeLinks(time, store, workers);
+        final ProcessTime ownTime = new ProcessTime(time);
+        final NodeLinks links = new NodeLinks(time, ownTime, store, workers);
         private StreamFollower jobsFollower;
 
         Process(String name) {
@@ -103,13 +105,13 @@
             operators = new OperatorsView(decoder, () -> {});
             candidate =
                     new SchedulerCandidate(
-                            time,
+                            ownTime,
                             links,
                             links,
                             (step, asked, timeout) -> Uni.createFrom().item(Optional.empty()),
                             decoder,
                             operators,
-                            time,
+                            ownTime,
                             settings(name, cores),
                             new ServiceMetrics(),
                             () -> jobsFollower.position(),
@@ -124,7 +126,12 @@
         private StreamFollower follow(Stream stream, StreamFollower.Fold fold) {
             StreamFollower follower =
                     new StreamFollower(
-                            time, links, stream, fold, time, new StreamFollower.Pace(1_000, 0));
+                            ownTime,
+                            links,
+                            stream,
+                            fold,
+                            ownTime,
+                            new StreamFollower.Pace(1_000, 0));
             followers.add(follower);
             return follower;
         }
@@ -152,6 +159,11 @@
         maxLeaseMillis = millis;
     }
 
+    /** Sets how long ended jobs are kept, for processes created later. */
+    void setStateKept(long millis) {
+        stateKeptMillis = millis;
+    }
+
     /** Makes the entries of workers contain their clocks, as of when an entry is read. */
     void reportWorkerClocks() {
         decoder.workerClockMillis = workers::clockMillis;
@@ -165,7 +177,7 @@
                 UNUSED_ENDPOINT,
                 UNUSED_ENDPOINT,
                 cores,
-                new NodeSettings.Bounds(5_000, 3_000, 6_000, maxLeaseMillis, 120_000));
+                new NodeSettings.Bounds(5_000, 3_000, 6_000, maxLeaseMillis, stateKeptMillis));
     }
 
     /** Stores the configuration, and the registry entries of workers with these names. */
@@ -202,7 +214,7 @@
         submit(id, count, 8, gang);
     }
 
-    private void submit(JobId id, int count, int accelerators, boolean gang) {
+    void submit(JobId id, int count, int accelerators, boolean gang) {
         StepSpec step =
                 new StepSpec(
                         count,
