Report reloaded jobs to the scheduler only once their progress is read

A job that has ended would run again (TWICE), and its runs would hold capacity that waiting jobs need.

Cause: JobsView.replace applies the newest records in the order of their offsets, and reports each job as soon as its acceptance is applied. Its progress has a later offset, so for that moment the job counts as queued. SchedulerTerm drops jobs that have ended, and SchedulerState keeps those that it knows; but a job that ended and was removed by the cleanup, every 5 s, is taken as new and started.

Evidence: ReloadedJobsTest. The scheduler's reads fail for a second, the history is dropped, and the view is loaded again. Before the change the ended job occupies the worker again and the job that was accepted meanwhile doesn't run (the test failed there); after it, it passes. SuccessionTest, JobsViewTest and SchedulerStateTest pass.

Ruled out: a takeover isn't affected, as a term begins with the complete view; nor are jobs in the state, as a known job isn't added again. That it has happened to the users isn't shown: case 2 has two runs at the same time from two schedulers, which this doesn't explain.

Why it works: while the records are replaced nothing is reported; then each accepted job is reported once, with its progress and its cancellation.

--- a/node/src/main/java/io/cardamomshelf/node/store/JobsView.java
+++ b/node/src/main/java/io/cardamomshelf/node/store/JobsView.java
@@ -106,6 +106,9 @@
     private JobRecords.Leader leader;
     private Roster roster = new Roster();
 
+    /** Whether all records are being replaced, so that jobs may lack their progress for now. */
+    private boolean replacing;
+
     /**
      * Creates an empty view.
      *
@@ -171,7 +174,13 @@
         ordered.sort((a, b) -> Long.compare(a.offset(), b.offset()));
         entries = new LinkedHashMap<>();
         roster = new Roster();
-        ordered.forEach(this::apply);
+        replacing = true;
+        try {
+            ordered.forEach(this::apply);
+        } finally {
+            replacing = false;
+        }
+        acceptedJobs().forEach(listener::jobChanged);
     }
 
     @Override
@@ -215,7 +224,7 @@
         Entry entry = entryOf(record);
         if (entry.job == null) {
             entry.job = JobRecords.read(record, TaskJob.class);
-            listener.jobChanged(entry);
+            notifyChanged(entry);
         }
     }
 
@@ -226,7 +235,7 @@
         Entry entry = entryOf(record);
         entry.cancelled = true;
         if (entry.job != null) {
-            listener.jobChanged(entry);
+            notifyChanged(entry);
         }
     }
 
@@ -244,6 +253,12 @@
         listener.leaderRecordRead(next);
     }
 
+    private void notifyChanged(Entry entry) {
+        if (!replacing) {
+            listener.jobChanged(entry);
+        }
+    }
+
     private Entry entryOf(StoredRecord record) {
         return entries.computeIfAbsent(JobRecords.jobId(record), id -> new Entry());
     }
