Call a worker that has left until its orphaned runs have ended

What callers saw: nothing reported; a job would stand still for ever (LOST).

Cause: after a takeover, a job whose recorded host lists an orphaned run of it waits until that host no longer lists the run. WorkerTable.remove forgot a worker that leaves the registry if it has no known runs, also with orphaned ones. A worker that isn't in the table isn't called any more, so nothing ended the job's wait, and the stop of the run wasn't repeated.

Evidence: TakeoverTest.callsAWorkerThatHasLeftUntilItsOrphanedRunHasEnded. A gang's members are listed with runs 77 and 76, the worker with the older run leaves, the other member ends. Before the change the worker needs no calls (the test failed there); after it, it is called and the gang starts.

Ruled out: a worker with an orphaned run that stays registered is called, and one that doesn't answer is declared lost, which ends the wait. That it has happened to the users isn't shown.

Why it works: the worker stays in the table, and is called, until its list lacks the run or it is lost; both end the job's wait.

--- a/core/src/main/java/io/cardamomshelf/core/schedule/WorkerTable.java
+++ b/core/src/main/java/io/cardamomshelf/core/schedule/WorkerTable.java
@@ -73,7 +73,7 @@
             return;
         }
         state.markUnregistered();
-        if (state.isIdle() && !unreported.contains(id)) {
+        if (state.isIdle() && !unreported.contains(id) && !orphans.hasAny(id)) {
             workers.remove(id);
         }
     }
--- a/core/src/test/java/io/cardamomshelf/core/schedule/TakeoverTest.java
+++ b/core/src/test/java/io/cardamomshelf/core/schedule/TakeoverTest.java
@@ -5,6 +5,7 @@
 import static io.cardamomshelf.core.schedule.SchedulerFixture.task;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.cardamomshelf.core.task.JobProgress;
 import io.cardamomshelf.core.task.JobRequest;
@@ -33,6 +34,10 @@
     class NewScheduler {
 
         private void inheritJob(SchedulerFixture.StepBuilder step) {
+            inheritJob(step, RunHosts.ANYWHERE);
+        }
+
+        private void inheritJob(SchedulerFixture.StepBuilder step, RunHosts hosts) {
             JobRequest request = new JobRequest("x", List.of(step.build()), 0, 0, 0);
             fixture.state.addJob(
                     new TaskJob(
@@ -41,7 +46,7 @@
                             SchedulerFixture.queue(1),
                             1,
                             request),
-                    Optional.of(new JobProgress(JobState.RUNNING, List.of(), RunHosts.ANYWHERE)));
+                    Optional.of(new JobProgress(JobState.RUNNING, List.of(), hosts)));
         }
 
         @Test
@@ -102,6 +107,27 @@
             assertEquals(1, fixture.decideStarts().size());
         }
 
+        /** Guards against a job that waits for ever for a worker that is no longer called. */
+        @Test
+        void callsAWorkerThatHasLeftUntilItsOrphanedRunHasEnded() {
+            inheritJob(
+                    step(2, 52_000, 270_000, 8).gang(),
+                    RunHosts.of(
+                            List.of(SchedulerFixture.worker("w1"), SchedulerFixture.worker("w3"))));
+            fixture.registerWorker("w1", "r1-1")
+                    .registerWorker("w2", "r1-1")
+                    .registerWorker("w3", "r1-1");
+            fixture.state.endInheritance();
+            fixture.report("w1", running(task(1, 0), 77));
+            fixture.report("w3", running(task(1, 1), 76)).report("w2");
+            fixture.state.removeWorker(SchedulerFixture.worker("w3"));
+            fixture.reportEnd("w1", task(1, 0), 77, RunEnd.STOPPED, "");
+            assertEquals(List.of(), fixture.decideStarts());
+            assertTrue(fixture.state.needsPolling(SchedulerFixture.worker("w3")));
+            fixture.report("w3");
+            assertEquals(SchedulerFixture.job(1), startOnceIntentIsStored().task().job());
+        }
+
         @Test
         void startsNewJobsAtOnce() {
             fixture.registerWorker("w1", "r1-1").registerWorker("w2", "r1-1");
