Use workers with recent failures again on a mostly idle fleet

Cause: a step avoids a worker on which a task of it failed, and every step avoids one on which runs of two jobs failed in a row, for 8 s. The first holds while any other worker is a candidate, also if that one is full; the second has no exception at all. So a task that only some workers can take (its label, its rack) waits for longer than 3 s though the fleet is mostly idle. Jobs that last never end as done, so two failures of them in a row are usual.

Evidence: AvoidedWorkersTest. Of five workers one is busy; a task whose label only the busy worker and the free one have isn't started there 2.5 s after it failed there, nor are tasks after failures of two jobs.

Ruled out: while half of any resource of the service is in use, the worker stays avoided as before (AvoidedWorkersTest.AreNotUsed), so a faulty worker doesn't use up the attempts of the tasks that wait in a full fleet.

Why it works: after 2 s of the 8 s a worker is used for work that fits on no other one, if less than half of each resource of its service is in use.

--- a/core/src/main/java/io/cardamomshelf/core/schedule/RoundCapacity.java
+++ b/core/src/main/java/io/cardamomshelf/core/schedule/RoundCapacity.java
@@ -34,6 +34,7 @@
     private final Map<WorkerId, List<Reservation>> reservations = new HashMap<>();
     private final Map<WorkerId, List<Run>> runsByEnd = new HashMap<>();
     private final Map<TaskGroup, List<WorkerState>> candidates = new HashMap<>();
+    private final Map<String, Boolean> mostlyIdleServices = new HashMap<>();
 
     RoundCapacity(SchedulerState state, long nowMillis) {
         this.state = state;
@@ -121,8 +122,9 @@
     }
 
     /**
-     * The workers that a group may use now. Workers on which its tasks failed recently are included
-     * only if there are no others.
+     * The workers that a group may use now. Workers on which its tasks, or those of several jobs,
+     * failed recently are included only if it doesn't fit on others and the service is mostly idle.
+     * Those on which only its own tasks failed are included at once if there are no others.
      */
     List<WorkerState> candidates(TaskGroup group, String service) {
         return candidates.computeIfAbsent(group, key -> findCandidates(group, service));
@@ -133,15 +135,63 @@
         List<WorkerState> allowed = new ArrayList<>(openWorkers.size());
         for (WorkerState worker : openWorkers) {
             if (isAllowed(worker, group, service)
+                    && !worker.avoidance().isExclusive(nowMillis)
                     && (!advised || state.ticket(group, worker, nowMillis).isPresent())) {
                 allowed.add(worker);
             }
         }
-        List<WorkerState> notAvoided =
+        List<WorkerState> preferred = preferredOf(allowed, group);
+        if (preferred.size() == allowed.size()
+                || fits(group, preferred)
+                || !isMostlyIdle(service)) {
+            return preferred;
+        }
+        List<WorkerState> withAvoided =
                 allowed.stream()
-                        .filter(worker -> !group.isAvoiding(worker.id(), nowMillis))
+                        .filter(worker -> !group.avoidance(worker.id()).isExclusive(nowMillis))
+                        .toList();
+        return fits(group, withAvoided) ? withAvoided : preferred;
+    }
+
+    private List<WorkerState> preferredOf(List<WorkerState> allowed, TaskGroup group) {
+        List<WorkerState> sound =
+                allowed.stream().filter(worker -> !worker.avoidance().isActive(nowMillis)).toList();
+        List<WorkerState> notAvoided =
+                sound.stream()
+                        .filter(worker -> !group.avoidance(worker.id()).isActive(nowMillis))
                         .toList();
-        return notAvoided.isEmpty() ? allowed : notAvoided;
+        return notAvoided.isEmpty() ? sound : notAvoided;
+    }
+
+    /** Whether less than half of each resource of a service is in use. */
+    boolean isMostlyIdle(String service) {
+        return mostlyIdleServices.computeIfAbsent(service, this::hasHalfOfEachResourceFree);
+    }
+
+    private boolean hasHalfOfEachResourceFree(String service) {
+        Resources total = Resources.NONE;
+        Resources used = Resources.NONE;
+        for (WorkerState worker : workers) {
+            if (worker.isRegistered() && worker.info().service().equals(service)) {
+                total = total.plus(worker.info().capacity());
+                used = used.plus(worker.info().capacity().minus(worker.free()));
+            }
+        }
+        return 2 * used.cpuMillis() < total.cpuMillis()
+                && 2 * used.memoryMb() < total.memoryMb()
+                && (total.accelerators() == 0 || 2 * used.accelerators() < total.accelerators());
+    }
+
+    /** Whether the tasks that start together fit on the workers now. */
+    private boolean fits(TaskGroup group, List<WorkerState> workers) {
+        int count = group.spec().gang() ? group.spec().count() : 1;
+        return workers.stream()
+                        .mapToInt(
+                                worker ->
+                                        TaskPlacer.fittingTasks(
+                                                worker, group, freeFor(group, worker)))
+                        .sum()
+                >= count;
     }
 
     private static boolean isAllowed(WorkerState worker, TaskGroup group, String service) {
--- a/core/src/main/java/io/cardamomshelf/core/schedule/TaskGroup.java
+++ b/core/src/main/java/io/cardamomshelf/core/schedule/TaskGroup.java
@@ -23,8 +23,7 @@
     /** Work that has waited for longer than this multiple of its objective has starved. */
     private static final int STARVED_FACTOR = 2;
 
-    /** How long a step avoids a worker on which one of its tasks failed, in milliseconds. */
-    private static final long AVOIDANCE_MILLIS = 8_000;
+    private static final Avoidance NO_AVOIDANCE = new Avoidance();
 
     private final LiveJob owner;
     private final int occurrence;
@@ -36,7 +35,7 @@
     private final Map<Integer, Failures> failures = new HashMap<>();
     private final Map<Integer, String> checkpoints = new HashMap<>();
     private final Map<Integer, Run> runs = new HashMap<>();
-    private final Map<WorkerId, Long> failureMillisByWorker = new HashMap<>();
+    private final Map<WorkerId, Avoidance> avoidances = new HashMap<>();
     private String reservedRack = "";
 
     TaskGroup(LiveJob owner, int occurrence, int step, long readyMillis) {
@@ -193,16 +192,15 @@
 
     /** Records that a run failed on a worker, even if the worker may not have caused it. */
     void avoidWorker(WorkerId worker, long nowMillis) {
-        failureMillisByWorker.put(worker, nowMillis);
+        avoidances.computeIfAbsent(worker, id -> new Avoidance()).begin(nowMillis);
     }
 
     /**
      * Whether a run failed on a worker recently. Without avoidance, a faulty worker would use up
      * all attempts of a task.
      */
-    boolean isAvoiding(WorkerId worker, long nowMillis) {
-        Long failedMillis = failureMillisByWorker.get(worker);
-        return failedMillis != null && nowMillis - failedMillis < AVOIDANCE_MILLIS;
+    Avoidance avoidance(WorkerId worker) {
+        return avoidances.getOrDefault(worker, NO_AVOIDANCE);
     }
 
     /** The rack in which capacity was last reserved for it, empty if there is none. */
--- a/core/src/main/java/io/cardamomshelf/core/schedule/WorkerState.java
+++ b/core/src/main/java/io/cardamomshelf/core/schedule/WorkerState.java
@@ -18,9 +18,6 @@
     /** Consecutive failures, of different jobs, after which a worker is paused. */
     private static final int MAX_CONSECUTIVE_FAILURES = 2;
 
-    /** How long a worker gets no starts after too many failures, in milliseconds. */
-    private static final long FAILURE_PAUSE_MILLIS = 8_000;
-
     /** How long a worker gets no starts after it refused one, in milliseconds. */
     private static final long REFUSAL_PAUSE_MILLIS = 500;
 
@@ -33,6 +30,7 @@
     private int consecutiveFailures;
     private String lastFailedJob = "";
     private long pausedUntilMillis = Long.MIN_VALUE;
+    private final Avoidance avoidance = new Avoidance();
 
     /** Whether the current incarnation has reported its runs to this scheduler. */
     boolean reported;
@@ -77,6 +75,11 @@
                 && nowMillis >= pausedUntilMillis;
     }
 
+    /** Whether runs of several jobs have failed on it lately. */
+    Avoidance avoidance() {
+        return avoidance;
+    }
+
     Resources free() {
         return info.capacity().minus(used);
     }
@@ -156,7 +159,7 @@
         consecutiveFailures++;
         if (consecutiveFailures >= MAX_CONSECUTIVE_FAILURES) {
             consecutiveFailures = 0;
-            pausedUntilMillis = nowMillis + FAILURE_PAUSE_MILLIS;
+            avoidance.begin(nowMillis);
         }
     }
 }
