Don't wait long for a rack while the fleet is mostly idle

Cause: a gang that is slower outside one rack waits for a rack as long as one is expected to be free within twice its estimate, counted anew in each round: more than 10 s for a gang of 6 s. A gang as wide as a rack waits so even if one worker of each rack is busy and all others are idle.

Evidence: LocalityPolicyTest.OnAMostlyIdleFleet. 3 of 12 workers are busy, one in each rack; a gang of 4 whole workers isn't started within 2.5 s. It failed before the change and passes after it; the tests of the package pass.

Ruled out: urgent work waits for 1.2 s at most already. While half of any resource of the service is in use, the wait is as before (LocalityPolicyTest.WaitsForItsRack).

Why it works: while less than half of each resource of the service is in use, a group that has waited for 2 s since its last start no longer waits for its rack.

--- a/core/src/main/java/io/cardamomshelf/core/schedule/LocalityPolicy.java
+++ b/core/src/main/java/io/cardamomshelf/core/schedule/LocalityPolicy.java
@@ -1,5 +1,6 @@
 package io.cardamomshelf.core.schedule;
 
+import io.cardamomshelf.core.task.QueuePolicy;
 import java.util.Collection;
 import java.util.List;
 
@@ -10,7 +11,8 @@
  * placement makes the callers wait for longer and occupies capacity for several times as long. A
  * group therefore waits if a preferred rack is expected to be free within the extra time that a
  * non-local placement would take, counted from now. How long the group has waited already matters
- * only once it has starved; then it no longer waits. Urgent groups wait for a fixed time at most.
+ * only once it has starved; then it no longer waits. Urgent groups, and all groups while the
+ * service is mostly idle, wait for a fixed time at most.
  */
 final class LocalityPolicy {
 
@@ -20,18 +22,30 @@
     /** How long urgent work waits for its preferred rack, in milliseconds. */
     private static final long URGENT_MAX_WAIT_MILLIS = 1_200;
 
+    /**
+     * How long work waits for its preferred rack while the service is mostly idle, in milliseconds:
+     * work doesn't wait beside free capacity for 3 s.
+     */
+    private static final long IDLE_MAX_WAIT_MILLIS = 2_000;
+
+    private final RoundCapacity capacity;
     private final Forecast forecast;
     private final ClockReading now;
 
-    LocalityPolicy(Forecast forecast, ClockReading now) {
+    LocalityPolicy(RoundCapacity capacity, Forecast forecast, ClockReading now) {
+        this.capacity = capacity;
         this.forecast = forecast;
         this.now = now;
     }
 
     /** Whether the tasks will fit in a preferred rack soon enough. */
     boolean isWorthWaiting(
-            TaskGroup group, int count, boolean urgent, Collection<List<WorkerState>> racks) {
-        if (urgent) {
+            TaskGroup group, int count, QueuePolicy policy, Collection<List<WorkerState>> racks) {
+        long waitedMillis = group.waitedMillis(now.monotonicMillis());
+        if (waitedMillis >= IDLE_MAX_WAIT_MILLIS && capacity.isMostlyIdle(policy.service())) {
+            return false;
+        }
+        if (policy.priority() == 0) {
             return now.wallMillis() - group.readyMillis() < URGENT_MAX_WAIT_MILLIS
                     && racks.stream().anyMatch(rack -> TaskPlacer.fitIfEmpty(rack, group, count));
         }
--- a/core/src/main/java/io/cardamomshelf/core/schedule/Round.java
+++ b/core/src/main/java/io/cardamomshelf/core/schedule/Round.java
@@ -38,7 +38,7 @@
         this.capacity = new RoundCapacity(state, now.monotonicMillis());
         this.placer = new TaskPlacer(capacity);
         Forecast forecast = new Forecast(capacity, now);
-        this.localityPolicy = new LocalityPolicy(forecast, now);
+        this.localityPolicy = new LocalityPolicy(capacity, forecast, now);
         this.reservations = new Reservations(capacity, forecast, now);
     }
 
@@ -126,7 +126,7 @@
                 hosts.isEmpty()
                         && TaskPlacer.hasPreferredRack(group)
                         && localityPolicy.isWorthWaiting(
-                                group, count, isUrgent(group), preferredRacks(group));
+                                group, count, policy, preferredRacks(group));
         if (hosts.isEmpty() && !waitsForRack && TaskPlacer.hasPreferredRack(group)) {
             hosts = placer.placeAnywhere(group, count, candidates(group));
         }
--- a/core/src/main/java/io/cardamomshelf/core/schedule/TaskGroup.java
+++ b/core/src/main/java/io/cardamomshelf/core/schedule/TaskGroup.java
@@ -24,6 +24,7 @@
     private static final int STARVED_FACTOR = 2;
 
     private static final Avoidance NO_AVOIDANCE = new Avoidance();
+    private static final long NOT_WAITING = Long.MIN_VALUE;
 
     private final LiveJob owner;
     private final int occurrence;
@@ -37,6 +38,7 @@
     private final Map<Integer, Run> runs = new HashMap<>();
     private final Map<WorkerId, Avoidance> avoidances = new HashMap<>();
     private String reservedRack = "";
+    private long waitingSinceMillis = NOT_WAITING;
 
     TaskGroup(LiveJob owner, int occurrence, int step, long readyMillis) {
         this.owner = owner;
@@ -141,7 +143,16 @@
         return !spec.gang() || runs.values().stream().allMatch(run -> run.number == number);
     }
 
+    /** Returns how long tasks have waited since the last start, as found by the rounds. */
+    long waitedMillis(long nowMillis) {
+        if (waitingSinceMillis == NOT_WAITING) {
+            waitingSinceMillis = nowMillis;
+        }
+        return nowMillis - waitingSinceMillis;
+    }
+
     void addRun(Run run) {
+        waitingSinceMillis = NOT_WAITING;
         runs.put(run.task.index(), run);
     }
 
--- a/core/src/test/java/io/cardamomshelf/core/schedule/LocalityPolicyTest.java
+++ b/core/src/test/java/io/cardamomshelf/core/schedule/LocalityPolicyTest.java
@@ -76,4 +76,39 @@
             assertEquals(2, countStartsWithin(2 * OBJECTIVE_MILLIS + 1));
         }
     }
+
+    /** Each of three racks has one busy worker, and no rack has room for the whole gang. */
+    @Nested
+    class OnAMostlyIdleFleet {
+
+        private static final int RACKS = 3;
+        private static final int WORKERS_PER_RACK = 4;
+        private static final int WHOLE_WORKER = 8;
+
+        /** Three seconds, less the time for a round and a start. */
+        private static final long LONGEST_WAIT_BESIDE_ROOM_MILLIS = 2_500;
+
+        private final SchedulerFixture idleFleet = new SchedulerFixture();
+
+        private void occupyAWorkerOfEachRack() {
+            for (int rack = 1; rack <= RACKS; rack++) {
+                for (int worker = 1; worker <= WORKERS_PER_RACK; worker++) {
+                    idleFleet.addIdleWorker("w" + rack + "-" + worker, "r" + rack);
+                }
+                idleFleet.submit(rack, 1, step(1, 1_000, 1_000, WHOLE_WORKER).label("r" + rack));
+            }
+            assertEquals(RACKS, idleFleet.startAll().size());
+        }
+
+        /** Guards against a gang that stands still beside room for it twice over. */
+        @Test
+        void aGangDoesNotWaitForItsRackForLong() {
+            occupyAWorkerOfEachRack();
+            idleFleet.submit(
+                    4, 1, step(WORKERS_PER_RACK, 1_000, 1_000, WHOLE_WORKER).gang().rackLocal());
+            assertEquals(0, idleFleet.startAll().size());
+            idleFleet.advanceClock(LONGEST_WAIT_BESIDE_ROOM_MILLIS);
+            assertEquals(WORKERS_PER_RACK, idleFleet.startAll().size());
+        }
+    }
 }
