Ask for advice on free workers that a waiting step hasn't asked for

Cause: a step asks for advice on the 30 workers that are freest at that moment, and not again before the answer expires; then it asks for the same order of workers again. If none of the 30 may run it, or those that may are taken meanwhile, it waits though others are free that it never asked for, as are workers that joined or started again since.

Evidence: AdviceRequestsTest.Candidates. Of two workers one was asked for and may not run the step; the step requested nothing more. The test failed before the change (with the earlier signature of putTickets) and passes now; the tests of both schedule packages pass.

Tests: putTickets and candidateWorkers have new parameters (the workers that were asked for, and the time); the checks of the tests are unchanged.

Why it works: advice is kept for each worker that was asked for, with and without a ticket. A step that waits and fits on a worker without valid advice requests it; workers with valid advice aren't asked for again. A full fleet gets no more calls than before, as nothing fits there.

--- a/core/src/main/java/io/cardamomshelf/core/schedule/Round.java
+++ b/core/src/main/java/io/cardamomshelf/core/schedule/Round.java
@@ -237,6 +237,9 @@
         if (!group.isPlacedTogether()) {
             state.jobs().addIntentForAnyWorker(group.owner());
         }
+        if (policy(group).advised()) {
+            state.adviceRequests().requestOnFreeWorkers(group, policy(group).service(), now);
+        }
         waitReasons.put(group.owner().job().id(), reason);
         return false;
     }
--- a/core/src/main/java/io/cardamomshelf/core/schedule/TaskGroup.java
+++ b/core/src/main/java/io/cardamomshelf/core/schedule/TaskGroup.java
@@ -207,8 +207,8 @@
     }
 
     /**
-     * Whether a run failed on a worker recently. Without avoidance, a faulty worker would use up
-     * all attempts of a task.
+     * Whether it avoids a worker on which a run failed. Without avoidance, a faulty worker would
+     * use up all attempts of a task.
      */
     Avoidance avoidance(WorkerId worker) {
         return avoidances.getOrDefault(worker, NO_AVOIDANCE);
--- a/core/src/test/java/io/cardamomshelf/core/schedule/AdviceRequestsTest.java
+++ b/core/src/test/java/io/cardamomshelf/core/schedule/AdviceRequestsTest.java
@@ -2,6 +2,7 @@
 
 import static io.cardamomshelf.core.schedule.SchedulerFixture.step;
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
 
 import io.cardamomshelf.core.base.WorkerId;
 import io.cardamomshelf.core.task.StepId;
@@ -33,10 +34,17 @@
                 .adviceRequests()
                 .putTickets(
                         STEP,
+                        Set.of(SchedulerFixture.worker(worker)),
                         Map.of(SchedulerFixture.worker(worker), ticket),
                         fixture.now().monotonicMillis() + validMillis);
     }
 
+    private List<WorkerId> candidateWorkers(int limit) {
+        return fixture.state
+                .adviceRequests()
+                .candidateWorkers(STEP, limit, fixture.now().monotonicMillis());
+    }
+
     @Nested
     class Tickets {
 
@@ -56,7 +64,11 @@
             fixture.state.adviceRequests().takeUnadvisedSteps();
             fixture.state
                     .adviceRequests()
-                    .putTickets(STEP, Map.of(), fixture.now().monotonicMillis() + 3_000);
+                    .putTickets(
+                            STEP,
+                            candidateWorkers(30),
+                            Map.of(),
+                            fixture.now().monotonicMillis() + 3_000);
             fixture.advanceClock(1_000).decide();
             assertEquals(Set.of(), fixture.state.adviceRequests().takeUnadvisedSteps());
             fixture.advanceClock(2_000).decide();
@@ -81,19 +93,33 @@
     @Nested
     class Candidates {
 
+        /** Guards against a step that stands still beside a free worker it never asked for. */
+        @Test
+        void areThoseThatWereNotAskedForWhileNoOtherMayRunTheStep() {
+            fixture.decide();
+            fixture.state.adviceRequests().takeUnadvisedSteps();
+            List<WorkerId> asked = candidateWorkers(1);
+            fixture.state
+                    .adviceRequests()
+                    .putTickets(STEP, asked, Map.of(), fixture.now().monotonicMillis() + 60_000);
+            fixture.decide();
+            assertEquals(Set.of(STEP), fixture.state.adviceRequests().takeUnadvisedSteps());
+            assertNotEquals(asked, candidateWorkers(1));
+        }
+
         @Test
         void areTheWorkersWithTheMostFreeCapacity() {
             fixture.submit(2, 1, step(1, 1_000, 1_000, 4).dataRack("r1-1"));
             WorkerId loaded = fixture.startAll().get(0).worker();
             WorkerId idle = SchedulerFixture.worker(loaded.value().equals("w1") ? "w2" : "w1");
-            assertEquals(List.of(idle), fixture.state.adviceRequests().candidateWorkers(STEP, 1));
-            assertEquals(2, fixture.state.adviceRequests().candidateWorkers(STEP, 30).size());
+            assertEquals(List.of(idle), candidateWorkers(1));
+            assertEquals(2, candidateWorkers(30).size());
         }
 
         @Test
         void areNoneForAJobThatHasEnded() {
             fixture.state.cancel(SchedulerFixture.job(1));
-            assertEquals(List.of(), fixture.state.adviceRequests().candidateWorkers(STEP, 30));
+            assertEquals(List.of(), candidateWorkers(30));
         }
     }
 }
--- a/node/src/main/java/io/cardamomshelf/node/schedule/AdviceFetcher.java
+++ b/node/src/main/java/io/cardamomshelf/node/schedule/AdviceFetcher.java
@@ -74,7 +74,8 @@
         }
         StepId step = queue.poll();
         List<WorkerId> workers =
-                state.adviceRequests().candidateWorkers(step, MAX_WORKERS_PER_CALL);
+                state.adviceRequests()
+                        .candidateWorkers(step, MAX_WORKERS_PER_CALL, clock.monotonicMillis());
         if (workers.isEmpty()) {
             timers.after(FAILURE_PAUSE_MILLIS, this::fetchNext);
             return;
@@ -82,16 +83,16 @@
         callInFlight = true;
         advice.advise(step, workers, TIMEOUT_MILLIS)
                 .subscribe()
-                .with(answer -> adviceReceived(step, workers.size(), answer));
+                .with(answer -> adviceReceived(step, workers, answer));
     }
 
-    private void adviceReceived(StepId step, int workerCount, Optional<Advice> answer) {
+    private void adviceReceived(StepId step, List<WorkerId> asked, Optional<Advice> answer) {
         if (closed) {
             return;
         }
         EventLog.of(NodeEvent.ADVICE_TAKEN)
                 .with("step", step)
-                .with("asked", workerCount)
+                .with("asked", asked.size())
                 .with("given", answer.map(given -> given.tickets().size()).orElse(-1))
                 .write();
         answer.ifPresent(
@@ -99,6 +100,7 @@
                         state.adviceRequests()
                                 .putTickets(
                                         step,
+                                        asked,
                                         given.tickets(),
                                         clock.monotonicMillis() + given.validMillis()));
         timers.after(
