--- a/core/src/main/java/io/cardamomshelf/core/schedule/TaskGroup.java
+++ b/core/src/main/java/io/cardamomshelf/core/schedule/TaskGroup.java
@@ -23,8 +23,8 @@
     /** Work that has waited for longer than this multiple of its objective has starved. */
     private static final int STARVED_FACTOR = 2;
 
-    /** How long a step avoids a worker on which one of its tasks failed, in milliseconds. */
-    private static final long AVOIDANCE_MILLIS = 8_000;
+    private static final Avoidance NO_AVOIDANCE = new Avoidance();
+    private static final long NOT_WAITING = Long.MIN_VALUE;
 
     private final LiveJob owner;
     private final int occurrence;
@@ -36,8 +36,9 @@
     private final Map<Integer, Failures> failures = new HashMap<>();
     private final Map<Integer, String> checkpoints = new HashMap<>();
     private final Map<Integer, Run> runs = new HashMap<>();
-    private final Map<WorkerId, Long> failureMillisByWorker = new HashMap<>();
+    private final Map<WorkerId, Avoidance> avoidances = new HashMap<>();
     private String reservedRack = "";
+    private long waitingSinceMillis = NOT_WAITING;
 
     TaskGroup(LiveJob owner, int occurrence, int step, long readyMillis) {
         this.owner = owner;
@@ -142,7 +143,16 @@
         return !spec.gang() || runs.values().stream().allMatch(run -> run.number == number);
     }
 
+    /** Returns how long tasks have waited since the last start, as found by the rounds. */
+    long waitedMillis(long nowMillis) {
+        if (waitingSinceMillis == NOT_WAITING) {
+            waitingSinceMillis = nowMillis;
+        }
+        return nowMillis - waitingSinceMillis;
+    }
+
     void addRun(Run run) {
+        waitingSinceMillis = NOT_WAITING;
         runs.put(run.task.index(), run);
     }
 
@@ -193,16 +203,15 @@
 
     /** Records that a run failed on a worker, even if the worker may not have caused it. */
     void avoidWorker(WorkerId worker, long nowMillis) {
-        failureMillisByWorker.put(worker, nowMillis);
+        avoidances.computeIfAbsent(worker, id -> new Avoidance()).begin(nowMillis);
     }
 
     /**
-     * Whether a run failed on a worker recently. Without avoidance, a faulty worker would use up
-     * all attempts of a task.
+     * Whether it avoids a worker on which a run failed. Without avoidance, a faulty worker would
+     * use up all attempts of a task.
      */
-    boolean isAvoiding(WorkerId worker, long nowMillis) {
-        Long failedMillis = failureMillisByWorker.get(worker);
-        return failedMillis != null && nowMillis - failedMillis < AVOIDANCE_MILLIS;
+    Avoidance avoidance(WorkerId worker) {
+        return avoidances.getOrDefault(worker, NO_AVOIDANCE);
     }
 
     /** The rack in which capacity was last reserved for it, empty if there is none. */
