Store a worker that registers again before it gets a run

Cause: a worker whose entry leaves the registry while it has runs stays in the scheduler's state. Once its runs have ended, its record in the roster is dropped, but the state still counted it as stored. When its entry came back, it could get a run of a job that had one there before, and the record followed later. If the scheduler ended in between and the entry lapsed again, its successor wouldn't know the worker.

Evidence: TakeoverViewTest$StoredRoster failed before (a run was carried out while the roster lacked the worker) and passes now, as do the tests of core and node (FleetFuzzTest apart, which runs by itself). That a task then runs twice is inferred.

Why it works: leaving the registry ends the admission; RosterWriter admits the worker again, at once if its record is still stored, else when it has been stored.

--- a/core/src/main/java/io/cardamomshelf/core/schedule/WorkerState.java
+++ b/core/src/main/java/io/cardamomshelf/core/schedule/WorkerState.java
@@ -60,8 +60,10 @@
         registered = true;
     }
 
+    /** Its stored entry may be dropped from now on, so it has to be admitted again. */
     void markUnregistered() {
         registered = false;
+        admitted = false;
     }
 
     boolean isRegistered() {
--- a/node/src/test/java/io/cardamomshelf/node/schedule/TakeoverViewTest.java
+++ b/node/src/test/java/io/cardamomshelf/node/schedule/TakeoverViewTest.java
@@ -1,15 +1,18 @@
 package io.cardamomshelf.node.schedule;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.cardamomshelf.core.base.JobId;
 import io.cardamomshelf.core.base.WorkerId;
 import io.cardamomshelf.core.task.JobState;
 import io.cardamomshelf.core.task.RunEnd;
+import io.cardamomshelf.core.task.TaskId;
 import io.cardamomshelf.node.FakeStore.Fault;
 import io.cardamomshelf.node.port.KeyedStore.Stream;
 import io.cardamomshelf.node.port.StoredRecord;
+import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
@@ -77,4 +80,38 @@
             assertEquals(8, workers.running().get(WorkerId.of("w3")).size());
         }
     }
+
+    @Nested
+    class StoredRoster {
+
+        private boolean containsFirstWorker() {
+            return store.records(Stream.JOBS).stream()
+                    .filter(record -> record.key().equals("w:w1"))
+                    .reduce((earlier, later) -> later)
+                    .filter(record -> !record.isTombstone())
+                    .isPresent();
+        }
+
+        /** Guards against runs on a worker that a successor doesn't know of. */
+        @Test
+        void containsAWorkerThatRegisteredAgainBeforeItsNextRun() {
+            storeConfigurationAndWorkers("w1");
+            new Process("one");
+            time.advance(4_000);
+            submit(2, false);
+            time.advance(1_000);
+            store.write(Stream.WORKERS, StoredRecord.tombstone("w1"));
+            time.advance(1_000);
+            TaskId first = workers.starts.get(0).task();
+            workers.finish("w1", first, RunEnd.DONE);
+            time.advance(6_000);
+            assertFalse(containsFirstWorker());
+            List<Boolean> known = new ArrayList<>();
+            workers.onStart = () -> known.add(containsFirstWorker());
+            store.appendMillis = 300;
+            store.write(Stream.WORKERS, record("w1"));
+            time.advance(3_000);
+            assertEquals(List.of(true), known);
+        }
+    }
 }
