Declare runs lost only if a stored append proves that no successor renewed them

Cause: a scheduler that is cut off from the store goes on while most of the workers answer it. A worker that it doesn't reach counted as lost once the leases that it had granted itself had lapsed, and its tasks were restarted on workers that it reached. But its successor may reach that worker, have taken over its runs and renewed their leases. Few workers decide nothing here: the successor needs no majority to renew.

TakeoverViewTest$SchedulerWithoutTheStore shows it without chance; it failed before (overlap at 1013653) and passes now. Passed: the tests of core and node (FleetFuzzTest apart, which runs by itself).

Ruled out: asking for a proof that is at most 2 s old. A successor elected within these 2 s may have renewed the leases before they lapsed.

Why it works: the leases must have lapsed before the last stored append was sent. At that moment no successor was elected, so nobody could renew them before their end. A scheduler with the store sends one each 500 ms, so a loss is found that much later.

--- a/core/src/main/java/io/cardamomshelf/core/schedule/LeaderLease.java
+++ b/core/src/main/java/io/cardamomshelf/core/schedule/LeaderLease.java
@@ -69,6 +69,16 @@
         }
     }
 
+    /**
+     * Returns when the last stored append was sent, or an earlier time. No successor had been
+     * elected by then, and none had granted a lease.
+     *
+     * @return the time on the monotonic clock, in milliseconds
+     */
+    public long provenMillis() {
+        return lastAppend.monotonicMillis();
+    }
+
     /**
      * Records that a worker has accepted a call.
      *
--- a/node/src/main/java/io/cardamomshelf/node/schedule/WorkerLink.java
+++ b/node/src/main/java/io/cardamomshelf/node/schedule/WorkerLink.java
@@ -380,8 +380,9 @@
         return state.workerReports().lastEndNumber(info.id());
     }
 
+    /** Returns whether the leases had lapsed before a successor could renew them. */
     private boolean haveLeasesLapsed() {
-        return leaseClock.haveLeasesLapsed(clock.monotonicMillis())
+        return leaseClock.haveLeasesLapsed(leaderLease.provenMillis())
                 && callbacks.havePredecessorLeasesLapsed();
     }
 
--- a/node/src/test/java/io/cardamomshelf/node/schedule/TakeoverViewTest.java
+++ b/node/src/test/java/io/cardamomshelf/node/schedule/TakeoverViewTest.java
@@ -114,4 +114,29 @@
             assertEquals(List.of(true), known);
         }
     }
+
+    @Nested
+    class SchedulerWithoutTheStore {
+
+        /** Guards against a restart of runs whose leases a successor renews. */
+        @Test
+        void doesNotRestartRunsOfAWorkerThatItsSuccessorReaches() {
+            storeConfigurationAndWorkers("w1", "w2", "w3");
+            Process one = new Process("one");
+            time.advance(4_000);
+            submit(2, false);
+            time.advance(1_000);
+            String host = workers.starts.get(0).worker().value();
+            Process two = new Process("two");
+            time.advance(1_000);
+            one.links.disconnectStore();
+            for (String name : List.of("w1", "w2", "w3")) {
+                (name.equals(host) ? one : two).links.disconnectWorker(name);
+            }
+            time.advance(20_000);
+            assertTrue(two.candidate.isLeading());
+            assertEquals(List.of(), workers.overlaps);
+            assertTrue(workers.isRunning(workers.starts.get(0).task()));
+        }
+    }
 }
