Log reports of other incarnations of a worker that aren't used

A worker that starts again under its identifier on a machine whose time of day was set back has a lower `born` than before. Its entries and lists are dropped as those of an earlier incarnation, call after call, without a failure and without a line, so that no log could tell this case from the others.

WORKER_REPORT_IGNORED (6009) names the worker, what was dropped, and both incarnations. It is written once for each change of either, as such a worker is called four times a second.

No logic is changed.

--- a/node/src/main/java/io/cardamomshelf/node/event/NodeEvent.java
+++ b/node/src/main/java/io/cardamomshelf/node/event/NodeEvent.java
@@ -116,7 +116,12 @@
             "The number of free, held and busy accelerators, once a second while work is waiting."),
     /** A worker has restarted under its identifier. */
     WORKER_RESTARTED(
-            6008, "A worker has restarted under its identifier; the line gives what shows it.");
+            6008, "A worker has restarted under its identifier; the line gives what shows it."),
+    /** An entry or lists of another incarnation of a worker aren't used. */
+    WORKER_REPORT_IGNORED(
+            6009,
+            "A worker's entry or lists aren't used, as they are of another incarnation than the"
+                    + " current one; one line for each change of either.");
 
     private final int number;
     private final String description;
--- a/node/src/main/java/io/cardamomshelf/node/schedule/WorkerLink.java
+++ b/node/src/main/java/io/cardamomshelf/node/schedule/WorkerLink.java
@@ -17,6 +17,7 @@
 import io.cardamomshelf.node.port.WorkerOrders;
 import io.cardamomshelf.node.port.WorkerOrders.Acknowledgement;
 import io.cardamomshelf.node.port.WorkerOrders.Answer;
+import io.cardamomshelf.node.schedule.IgnoredReports.Kind;
 import java.util.Optional;
 import java.util.OptionalLong;
 
@@ -106,6 +107,7 @@
 
     private WorkerInfo info;
     private final EndAcknowledgements acknowledgements;
+    private final IgnoredReports ignoredReports;
     private long answerTimeoutMillis = ANSWER_TIMEOUT_MILLIS;
     private int consecutiveFailures;
     private boolean answered;
@@ -129,6 +131,7 @@
         this.callbacks = callbacks;
         this.info = info;
         this.acknowledgements = new EndAcknowledgements(info.bornMillis());
+        this.ignoredReports = new IgnoredReports(info.id());
         this.leaseClock = new LeaseClock(inheritedUntilMillis);
         this.orderSender = new OrderSender(context, state, leaseClock, this);
         this.leaderLease = context.leaderLease();
@@ -150,6 +153,8 @@
         }
         if (newInfo.bornMillis() == info.bornMillis()) {
             info = newInfo;
+        } else {
+            ignoredReports.add(Kind.ENTRY, newInfo.bornMillis(), info.bornMillis());
         }
     }
 
@@ -266,6 +271,7 @@
         }
         if (reply.answer() == Answer.DONE) {
             if (reply.lists().bornMillis() < info.bornMillis()) {
+                ignoredReports.add(Kind.LISTS, reply.lists().bornMillis(), info.bornMillis());
                 pause.begin(RETRY_PAUSE_MILLIS);
                 return;
             }
