Reproduce jobs that stand still: a worker restarts with a lower born

A worker starts again under its identifier on a machine whose time of day was set back. Its new incarnation has a lower `born`, and is taken for an earlier one: its lists and its entry are dropped for ever, no failure is counted, and the tasks that it lost are never started again.

FakeWorkers can restart a worker with any start time, and move it to another address.

--- a/node/src/test/java/io/cardamomshelf/node/schedule/FakeWorkers.java
+++ b/node/src/test/java/io/cardamomshelf/node/schedule/FakeWorkers.java
@@ -1,5 +1,6 @@
 package io.cardamomshelf.node.schedule;
 
+import io.cardamomshelf.core.base.Endpoint;
 import io.cardamomshelf.core.base.WorkerId;
 import io.cardamomshelf.core.schedule.Order;
 import io.cardamomshelf.core.schedule.WorkerLists;
@@ -31,41 +32,6 @@
     /** The longest lease that a worker takes, in milliseconds. */
     private static final long MAX_LEASE_MILLIS = 10_000;
 
-    /**
-     * The runs, the lease and the fencing token of one incarnation of a worker, which is also the
-     * connection to it.
-     */
-    static final class FakeWorker implements Connection {
-        /** The incarnation, which rises with each restart. */
-        final long bornMillis;
-
-        /** When its clock was at 0, on the test's monotonic clock. */
-        private final long clockStartMillis;
-
-        final Map<TaskId, Long> running = new HashMap<>();
-        final List<WorkerLists.Ended> ended = new ArrayList<>();
-
-        /**
-         * The highest run number of each task that was started or stopped. A start of a run needs a
-         * higher number; a repeated start of a current run succeeds.
-         */
-        final Map<TaskId, Long> highestRuns = new HashMap<>();
-
-        long highestToken;
-        long leaseEndMillis;
-        long lastEndNumber;
-        private long lastListedEnd;
-        int renewals;
-
-        /** The lease ends of all renewals, in the order in which they were sent. */
-        final List<OptionalLong> renewedLeaseEnds = new ArrayList<>();
-
-        private FakeWorker(long bornMillis, long clockStartMillis) {
-            this.bornMillis = bornMillis;
-            this.clockStartMillis = clockStartMillis;
-        }
-    }
-
     private final VirtualTime time;
     private final Map<WorkerId, FakeWorker> workers = new HashMap<>();
     final Set<WorkerId> disconnected = new HashSet<>();
@@ -89,6 +55,9 @@
     /** Workers that close each connection after a call. */
     final Set<WorkerId> closingConnections = new HashSet<>();
 
+    /** The addresses of workers that have moved; calls to their other addresses get no answer. */
+    final Map<WorkerId, Endpoint> movedTo = new HashMap<>();
+
     /** Workers at whose address another incarnation answers. */
     final Set<WorkerId> replaced = new HashSet<>();
 
@@ -122,7 +91,15 @@
      * and its clock and its numbers of ends start again.
      */
     void restart(String name) {
-        long bornMillis = worker(name).bornMillis + 1;
+        restart(name, worker(name).bornMillis + 1);
+    }
+
+    /** Restarts a worker on a machine whose time of day was set to before its last start. */
+    void restartWithClockSetBack(String name) {
+        restart(name, worker(name).bornMillis - 1);
+    }
+
+    void restart(String name, long bornMillis) {
         workers.put(WorkerId.of(name), new FakeWorker(bornMillis, time.monotonicMillis()));
     }
 
@@ -392,7 +369,8 @@
                                         ONE_WAY_DELAY_MILLIS,
                                         () -> {
                                             endRunsWithLapsedLease();
-                                            if (disconnected.contains(target.id())) {
+                                            if (disconnected.contains(target.id())
+                                                    || hasMoved(target)) {
                                                 time.after(
                                                         timeoutMillis,
                                                         () -> emitter.complete(noAnswer));
@@ -431,6 +409,10 @@
                                         }));
     }
 
+    private boolean hasMoved(Target target) {
+        return !movedTo.getOrDefault(target.id(), target.endpoint()).equals(target.endpoint());
+    }
+
     private <T> void carryOutLate(Target target, Function<FakeWorker, T> action) {
         endRunsWithLapsedLease();
         action.apply(worker(target.id().value()));
--- a/node/src/test/java/io/cardamomshelf/node/schedule/SchedulingFixture.java
+++ b/node/src/test/java/io/cardamomshelf/node/schedule/SchedulingFixture.java
@@ -31,6 +31,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Random;
+import java.util.function.Function;
 import java.util.function.ToLongFunction;
 import java.util.random.RandomGenerator;
 
@@ -65,6 +66,9 @@
         /** The clock that each worker reports in its entry, in milliseconds; 0 for none. */
         private ToLongFunction<WorkerId> workerClockMillis = id -> 0;
 
+        /** The address in each worker's entry. */
+        private Function<WorkerId, Endpoint> workerEndpoint = id -> UNUSED_ENDPOINT;
+
         @Override
         public Optional<WorkerInfo> worker(StoredRecord record) {
             return Optional.of(
@@ -72,7 +76,7 @@
                             WorkerId.of(record.key()),
                             Long.parseLong(new String(record.value(), StandardCharsets.UTF_8)),
                             "rota",
-                            UNUSED_ENDPOINT,
+                            workerEndpoint.apply(WorkerId.of(record.key())),
                             DataCentreId.of("jhb-a"),
                             "r1-1",
                             List.of("a"),
@@ -157,6 +161,11 @@
         decoder.workerClockMillis = workers::clockMillis;
     }
 
+    /** Makes the entries of workers that have moved contain their new addresses. */
+    void reportWorkerMoves() {
+        decoder.workerEndpoint = id -> workers.movedTo.getOrDefault(id, UNUSED_ENDPOINT);
+    }
+
     private NodeSettings settings(String name, double cores) {
         return new NodeSettings(
                 name,
@@ -185,7 +194,7 @@
         return record(key, 1);
     }
 
-    private static StoredRecord record(String key, long bornMillis) {
+    static StoredRecord record(String key, long bornMillis) {
         return StoredRecord.of(key, Long.toString(bornMillis).getBytes(StandardCharsets.UTF_8));
     }
 
