Tell incarnations of a worker apart by born, and order them by calls

Cause: `born` was taken for an order. Lists and entries with a lower one were dropped for ever as those of an earlier incarnation, and no failure was counted, so the worker was never lost. PROTOCOL.md says only that it is the time of a start. Class of fault: an identity taken for an order.

Fix: Incarnations decides by when the evidence was asked for. Lists that were asked for after all else that is known are of the current incarnation, whatever their `born`; all others have ended, and their entries aren't used any more. Lists of another incarnation that were asked for before that are asked for again. An entry shows that its incarnation has begun, not that it goes on: a higher one begins an incarnation as before, a lower one is kept until lists decide, and meanwhile the worker gets no starts, no lease and no acknowledgement, and keeps its runs. If it doesn't answer, the entry is used once its runs are lost. A worker that was forgotten meanwhile begins with any entry that isn't of an ended incarnation.

Why it works: one renewal is in flight, and its lists are written after it was sent; an incarnation that is up then is later than all that had begun before. State by incarnation (ends, acknowledgements, clocks, tickets, repeats of starts) is compared for equality only, and needed no change.

--- a/core/src/main/java/io/cardamomshelf/core/schedule/SchedulerState.java
+++ b/core/src/main/java/io/cardamomshelf/core/schedule/SchedulerState.java
@@ -133,7 +133,7 @@
     }
 
     /**
-     * Adds a worker, or updates it, from its entry in the registry.
+     * Adds a worker, or updates it, unless its entry was born before its current incarnation.
      *
      * @param info the entry, not null
      */
@@ -182,7 +182,7 @@
     }
 
     /**
-     * Updates the runs of a worker from its lists, unless they are of an earlier incarnation.
+     * Updates a worker's runs from its lists, unless they were born before its incarnation.
      *
      * @param id the worker, not null
      * @param lists the lists, not null
--- a/core/src/main/java/io/cardamomshelf/core/schedule/WorkerReports.java
+++ b/core/src/main/java/io/cardamomshelf/core/schedule/WorkerReports.java
@@ -57,6 +57,17 @@
         workers.find(id).ifPresent(worker -> worker.reported = false);
     }
 
+    /**
+     * Begins another incarnation of a worker, which may be born before the current one. Runs that
+     * only the current one can have are removed.
+     *
+     * @param id the worker, not null
+     * @param bornMillis when the incarnation started, in milliseconds since 1970
+     */
+    public void beginIncarnation(WorkerId id, long bornMillis) {
+        workers.find(id).ifPresent(worker -> workers.beginIncarnation(worker, bornMillis));
+    }
+
     /**
      * Returns the ends of runs that were received since the last call.
      *
--- a/core/src/main/java/io/cardamomshelf/core/schedule/WorkerTable.java
+++ b/core/src/main/java/io/cardamomshelf/core/schedule/WorkerTable.java
@@ -49,8 +49,8 @@
     }
 
     /**
-     * Adds or updates a worker, unless the entry is of an earlier incarnation. An inherited worker
-     * may have runs that an earlier scheduler started.
+     * Adds or updates a worker, unless the entry was born before its current incarnation. An
+     * inherited worker may have runs that an earlier scheduler started.
      */
     void put(WorkerInfo info, boolean inherited) {
         WorkerState state = workers.get(info.id());
@@ -62,11 +62,26 @@
             return;
         }
         if (info.bornMillis() >= state.info().bornMillis()) {
-            updateIncarnation(state, info.bornMillis());
+            beginIncarnation(state, info.bornMillis());
             state.update(info);
         }
     }
 
+    /** Begins an incarnation, unless it is the current one. */
+    void beginIncarnation(WorkerState worker, long bornMillis) {
+        if (bornMillis == worker.info().bornMillis()) {
+            return;
+        }
+        worker.beginIncarnation(bornMillis);
+        for (Run run : worker.runs()) {
+            if (run.mayBeOnNewIncarnation()) {
+                run.beginIncarnation();
+            } else {
+                remove(run);
+            }
+        }
+    }
+
     void remove(WorkerId id) {
         WorkerState state = workers.get(id);
         if (state == null) {
@@ -103,7 +118,7 @@
         if (lists.bornMillis() < worker.info().bornMillis()) {
             return;
         }
-        updateIncarnation(worker, lists.bornMillis());
+        beginIncarnation(worker, lists.bornMillis());
         worker.unresponsive = false;
         worker.reported = true;
         unreported.remove(worker.id());
@@ -211,18 +226,4 @@
             }
         }
     }
-
-    private void updateIncarnation(WorkerState worker, long bornMillis) {
-        if (bornMillis <= worker.info().bornMillis()) {
-            return;
-        }
-        worker.beginIncarnation(bornMillis);
-        for (Run run : worker.runs()) {
-            if (run.mayBeOnNewIncarnation()) {
-                run.beginIncarnation();
-            } else {
-                remove(run);
-            }
-        }
-    }
 }
--- a/node/src/main/java/io/cardamomshelf/node/event/NodeEvent.java
+++ b/node/src/main/java/io/cardamomshelf/node/event/NodeEvent.java
@@ -120,8 +120,8 @@
     /** An entry or lists of another incarnation of a worker aren't used. */
     WORKER_REPORT_IGNORED(
             6009,
-            "A worker's entry or lists aren't used, as they are of another incarnation than the"
-                    + " current one; one line for each change of either.");
+            "A worker's entry or lists aren't used, or not yet, as they are of another incarnation"
+                    + " than the current one; one line for each change of either.");
 
     private final int number;
     private final String description;
--- a/node/src/main/java/io/cardamomshelf/node/schedule/SchedulerTerm.java
+++ b/node/src/main/java/io/cardamomshelf/node/schedule/SchedulerTerm.java
@@ -26,6 +26,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.stream.Collectors;
 
@@ -179,6 +180,7 @@
     }
 
     void workerUnregistered(WorkerId id) {
+        Optional.ofNullable(links.get(id)).ifPresent(WorkerLink::entryRemoved);
         state.removeWorker(id);
         EventLog.of(NodeEvent.WORKER_UNLISTED).with("worker", id).write();
         rosterWriter.dropUnregistered(registeredWorkers());
@@ -266,23 +268,28 @@
      * scheduler granted have lapsed, on the monotonic clock.
      */
     private void addWorker(WorkerInfo info, long inheritedUntilMillis) {
-        state.putWorker(info);
         WorkerLink link = links.get(info.id());
-        if (link == null || link.isOlderThan(info)) {
+        if (link != null) {
+            link.entryRead(info);
+            return;
+        }
+        links.put(info.id(), new WorkerLink(context, state, this, info, inheritedUntilMillis));
+        entryConfirmed(info, true);
+    }
+
+    @Override
+    public void entryConfirmed(WorkerInfo entry, boolean isFirst) {
+        if (isFirst) {
             EventLog.of(NodeEvent.WORKER_SEEN)
-                    .with("worker", info.id())
-                    .with("bornMillis", info.bornMillis())
-                    .with("dataCentre", info.dataCentre())
-                    .with("rack", info.rack())
-                    .with("capacity", info.capacity())
+                    .with("worker", entry.id())
+                    .with("bornMillis", entry.bornMillis())
+                    .with("dataCentre", entry.dataCentre())
+                    .with("rack", entry.rack())
+                    .with("capacity", entry.capacity())
                     .write();
         }
-        if (link == null) {
-            links.put(info.id(), new WorkerLink(context, state, this, info, inheritedUntilMillis));
-        } else {
-            link.updateInfo(info);
-        }
-        rosterWriter.admit(info);
+        state.putWorker(entry);
+        rosterWriter.admit(entry);
     }
 
     private void round() {
--- a/node/src/main/java/io/cardamomshelf/node/schedule/WorkerLink.java
+++ b/node/src/main/java/io/cardamomshelf/node/schedule/WorkerLink.java
@@ -10,15 +10,9 @@
 import io.cardamomshelf.core.schedule.WorkerLists;
 import io.cardamomshelf.core.schedule.WorkerReports;
 import io.cardamomshelf.node.Clock;
-import io.cardamomshelf.node.event.EventLog;
-import io.cardamomshelf.node.event.NodeEvent;
-import io.cardamomshelf.node.metric.ServiceMetrics;
-import io.cardamomshelf.node.metric.ServiceMetrics.Name;
 import io.cardamomshelf.node.port.WorkerOrders;
-import io.cardamomshelf.node.port.WorkerOrders.Acknowledgement;
 import io.cardamomshelf.node.port.WorkerOrders.Answer;
 import io.cardamomshelf.node.schedule.IgnoredReports.Kind;
-import java.util.Optional;
 import java.util.OptionalLong;
 
 /**
@@ -50,6 +44,12 @@
          */
         void workerLost(WorkerId worker, long unansweredBeforeMillis);
 
+        /**
+         * Uses an entry of the worker's current incarnation; {@code isFirst} tells whether it is
+         * the first one of that incarnation.
+         */
+        void entryConfirmed(WorkerInfo entry, boolean isFirst);
+
         /** Returns whether leases may be granted now. */
         boolean mayGrant();
 
@@ -60,19 +60,6 @@
     /** How long a worker may wait for the end of a run before it answers, in milliseconds. */
     private static final long MAX_WAIT_MILLIS = 1_000;
 
-    /**
-     * The time allowed for an answer beyond the requested wait, in milliseconds: several round
-     * trips between regions.
-     */
-    private static final long ANSWER_TIMEOUT_MILLIS = 900;
-
-    /**
-     * The time allowed for an answer of a worker that was silent or slow, in milliseconds. A lease
-     * is long enough for two calls of this duration, so that a worker that answers late keeps its
-     * runs.
-     */
-    private static final long SLOW_ANSWER_TIMEOUT_MILLIS = 2_000;
-
     /** The pause before a failed call is repeated, in milliseconds. */
     private static final long RETRY_PAUSE_MILLIS = 250;
 
@@ -91,7 +78,6 @@
     private final SchedulerState state;
     private final Clock clock;
     private final Callbacks callbacks;
-    private final ServiceMetrics metrics;
     private final long token;
     private final long leaseMillis;
     private final long maxLeaseMillis;
@@ -106,9 +92,11 @@
     private final Pause pause;
 
     private WorkerInfo info;
+    private final Incarnations incarnations;
     private final EndAcknowledgements acknowledgements;
     private final IgnoredReports ignoredReports;
-    private long answerTimeoutMillis = ANSWER_TIMEOUT_MILLIS;
+    private final WorkerEvents events;
+    private final AnswerTimeout answerTimeout = new AnswerTimeout();
     private int consecutiveFailures;
     private boolean answered;
     private boolean renewalInFlight;
@@ -123,14 +111,15 @@
         this.pause = new Pause(context.timers(), this::renewIfNeeded);
         this.orders = context.orders();
         this.clock = context.clock();
-        this.metrics = context.metrics();
         this.token = context.epoch();
         this.leaseMillis = context.settings().leaseMillis();
         this.maxLeaseMillis = context.settings().maxLeaseMillis();
         this.state = state;
         this.callbacks = callbacks;
         this.info = info;
+        this.incarnations = new Incarnations(info.bornMillis());
         this.acknowledgements = new EndAcknowledgements(info.bornMillis());
+        this.events = new WorkerEvents(info.id(), context.metrics());
         this.ignoredReports = new IgnoredReports(info.id());
         this.leaseClock = new LeaseClock(inheritedUntilMillis);
         this.orderSender = new OrderSender(context, state, leaseClock, this);
@@ -142,22 +131,44 @@
         }
     }
 
-    boolean isOlderThan(WorkerInfo other) {
-        return other.bornMillis() > info.bornMillis();
-    }
-
-    /** Uses a registry entry, unless it is of an earlier incarnation. */
-    void updateInfo(WorkerInfo newInfo) {
-        if (isOlderThan(newInfo)) {
-            beginIncarnation(newInfo.bornMillis(), "its entry");
+    /**
+     * Uses a registry entry, if its incarnation is the current one. One that was born before the
+     * current one may be an earlier or a later one; its entry is kept until lists show which.
+     */
+    void entryRead(WorkerInfo entry) {
+        long bornMillis = entry.bornMillis();
+        if (incarnations.hasEnded(bornMillis)) {
+            ignoredReports.add(Kind.ENTRY, bornMillis, info.bornMillis());
+            return;
         }
-        if (newInfo.bornMillis() == info.bornMillis()) {
-            info = newInfo;
-        } else {
-            ignoredReports.add(Kind.ENTRY, newInfo.bornMillis(), info.bornMillis());
+        if (incarnations.isCurrent(bornMillis)) {
+            incarnations.takeAnnounced();
+            useEntry(entry, false);
+        } else if (bornMillis > info.bornMillis() || !state.isWorkerKnown(info.id())) {
+            incarnations.takeAnnounced();
+            beginWithEntry(entry);
+        } else if (incarnations.announce(entry)) {
+            ignoredReports.add(Kind.ENTRY, bornMillis, info.bornMillis());
+            acknowledgements.awaitLists();
+            state.workerReports().require(info.id());
         }
     }
 
+    /** Records that the registry has no entry of the worker any more. */
+    void entryRemoved() {
+        incarnations.takeAnnounced();
+    }
+
+    private void beginWithEntry(WorkerInfo entry) {
+        beginIncarnation(entry.bornMillis(), "its entry");
+        useEntry(entry, true);
+    }
+
+    private void useEntry(WorkerInfo entry, boolean isFirst) {
+        info = entry;
+        callbacks.entryConfirmed(entry, isFirst);
+    }
+
     void close() {
         closed = true;
     }
@@ -202,7 +213,7 @@
 
     @Override
     public boolean mayGrant() {
-        return callbacks.mayGrant();
+        return callbacks.mayGrant() && !incarnations.isUndecided();
     }
 
     @Override
@@ -222,6 +233,7 @@
                 || acknowledgements.hasUnstored(lastEndNumber())
                 || acknowledgements.isDue()
                 || consecutiveFailures > 0
+                || incarnations.isUndecided()
                 || leaderLease.needsWorkerAnswers(clock.now());
     }
 
@@ -238,61 +250,53 @@
         renewalInFlight = true;
         ClockReading now = clock.now();
         OptionalLong leaseEndMillis =
-                leaseClock.hasObservation() && consecutiveFailures == 0 && callbacks.mayGrant()
+                leaseClock.hasObservation() && consecutiveFailures == 0 && mayGrant()
                         ? OptionalLong.of(leaseClock.grantLease(now.monotonicMillis(), leaseMillis))
                         : OptionalLong.empty();
         boolean waitsForEnd = answered && leaseEndMillis.isPresent() && mayHaveRuns();
         long waitMillis = waitsForEnd ? MAX_WAIT_MILLIS : 0;
-        long bornMillis = info.bornMillis();
-        Optional<Acknowledgement> acknowledgement = acknowledgements.next();
+        SentRenewal renewal =
+                new SentRenewal(
+                        now,
+                        waitMillis,
+                        info.bornMillis(),
+                        incarnations.version(),
+                        acknowledgements.next());
         orders.renewLease(
                         target(),
                         leaseEndMillis,
-                        acknowledgement,
+                        renewal.acknowledgement(),
                         waitMillis,
                         token,
-                        waitMillis + answerTimeoutMillis)
+                        waitMillis + answerTimeout.millis())
                 .subscribe()
-                .with(
-                        reply ->
-                                renewalAnswered(
-                                        reply, now, waitMillis, bornMillis, acknowledgement));
-    }
-
-    private void renewalAnswered(
-            WorkerOrders.RenewalReply reply,
-            ClockReading sentAt,
-            long waitMillis,
-            long bornMillis,
-            Optional<Acknowledgement> acknowledgement) {
+                .with(reply -> renewalAnswered(reply, renewal));
+    }
+
+    private void renewalAnswered(WorkerOrders.RenewalReply reply, SentRenewal renewal) {
         renewalInFlight = false;
         if (closed) {
             return;
         }
-        if (reply.answer() == Answer.DONE) {
-            if (reply.lists().bornMillis() < info.bornMillis()) {
-                ignoredReports.add(Kind.LISTS, reply.lists().bornMillis(), info.bornMillis());
-                pause.begin(RETRY_PAUSE_MILLIS);
-                return;
-            }
-            if (reply.lists().bornMillis() > info.bornMillis()) {
-                beginIncarnation(reply.lists().bornMillis(), "its lists");
-            }
+        if (reply.answer() == Answer.DONE && !isCurrent(reply.lists().bornMillis(), renewal)) {
+            ignoredReports.add(Kind.LISTS, reply.lists().bornMillis(), info.bornMillis());
+            pause.begin(RETRY_PAUSE_MILLIS);
+            return;
         }
         long answeredBornMillis =
-                reply.answer() == Answer.DONE ? reply.lists().bornMillis() : bornMillis;
-        observeClock(
-                reply.clockMillis(), new SentCall(answeredBornMillis, sentAt.monotonicMillis()));
+                reply.answer() == Answer.DONE ? info.bornMillis() : renewal.bornMillis();
+        long sentMillis = renewal.sentAt().monotonicMillis();
+        observeClock(reply.clockMillis(), new SentCall(answeredBornMillis, sentMillis));
         switch (reply.answer()) {
             case DONE -> {
                 answered = true;
-                adaptAnswerTimeout(sentAt.monotonicMillis() + waitMillis);
-                acknowledgements.confirmAcknowledged(bornMillis, reply.receipt().acknowledgedEnd());
+                answerTimeout.adapt(clock.monotonicMillis() - sentMillis - renewal.waitMillis());
+                long acknowledgedEnd = reply.receipt().acknowledgedEnd();
+                acknowledgements.confirmAcknowledged(renewal.bornMillis(), acknowledgedEnd);
                 acknowledgements.confirmListed(reply.receipt().connection());
-                leaderLease.recordWorkerAnswer(info.id(), sentAt);
-                boolean leftOut =
-                        acknowledgement.isPresent() && reply.receipt().acknowledgedEnd() == 0;
-                listsReceived(reply, sentAt.monotonicMillis(), leftOut);
+                leaderLease.recordWorkerAnswer(info.id(), renewal.sentAt());
+                boolean leftOut = renewal.acknowledgement().isPresent() && acknowledgedEnd == 0;
+                listsReceived(reply, sentMillis, leftOut);
             }
             case FENCED -> callbacks.fenced(info);
             case OTHER_INCARNATION -> otherIncarnationAnswered();
@@ -300,13 +304,18 @@
         }
     }
 
-    /** Allows twice the delay of the last answer, counted from when it was due at the latest. */
-    private void adaptAnswerTimeout(long dueMillis) {
-        long delayMillis = Math.max(0, clock.monotonicMillis() - dueMillis);
-        answerTimeoutMillis =
-                Math.max(
-                        ANSWER_TIMEOUT_MILLIS,
-                        Math.min(2 * delayMillis, SLOW_ANSWER_TIMEOUT_MILLIS));
+    /**
+     * Returns whether lists are of the current incarnation. Those that were asked for after all
+     * else that is known decide which one that is.
+     */
+    private boolean isCurrent(long bornMillis, SentRenewal renewal) {
+        if (renewal.version() == incarnations.version()) {
+            if (!incarnations.isCurrent(bornMillis)) {
+                beginIncarnation(bornMillis, "its lists");
+            }
+            incarnations.confirm(bornMillis).ifPresent(entry -> useEntry(entry, true));
+        }
+        return incarnations.isCurrent(bornMillis);
     }
 
     /** Another incarnation uses the address, so this one has ended, and its runs with it. */
@@ -314,18 +323,22 @@
         consecutiveFailures++;
         state.setUnresponsive(info.id(), true);
         declareRunsLost("another incarnation answers at its address", Long.MAX_VALUE);
+        useAnnouncedEntryIfIdle();
         pause.begin(RETRY_PAUSE_MILLIS);
     }
 
     private void listsReceived(
             WorkerOrders.RenewalReply reply, long sentMillis, boolean acknowledgementLeftOut) {
         if (consecutiveFailures >= UNRESPONSIVE_AFTER_FAILURES) {
-            EventLog.of(NodeEvent.WORKER_ANSWERS).with("worker", info.id()).write();
+            events.answers();
         }
         consecutiveFailures = 0;
         WorkerLists lists = reply.lists();
-        logEnds(lists);
+        events.runsEnded(lists, lastEndNumber());
         state.updateRuns(info.id(), lists, sentMillis, reply.isComplete(), clock.now());
+        if (incarnations.isUndecided()) {
+            state.workerReports().require(info.id());
+        }
         callbacks.stateChanged();
         if (acknowledgementLeftOut || acknowledgements.hasUnstored(lastEndNumber())) {
             pause.begin(UNACKNOWLEDGED_ENDS_PAUSE_MILLIS);
@@ -337,44 +350,24 @@
         }
     }
 
-    private void logEnds(WorkerLists lists) {
-        for (WorkerLists.Ended ended : lists.ended()) {
-            if (ended.number() > lastEndNumber()) {
-                metrics.count(Name.RUN_ENDS, ended.end());
-                EventLog.of(NodeEvent.RUN_ENDED)
-                        .with("task", ended.task())
-                        .with("run", ended.run())
-                        .with("worker", info.id())
-                        .with("end", ended.end())
-                        .write();
-            }
-        }
-    }
-
     private void renewalFailed(WorkerOrders.RenewalReply reply) {
         acknowledgements.awaitLists();
         consecutiveFailures++;
         if (consecutiveFailures == UNRESPONSIVE_AFTER_FAILURES) {
-            answerTimeoutMillis = SLOW_ANSWER_TIMEOUT_MILLIS;
+            answerTimeout.extend();
             state.setUnresponsive(info.id(), true);
-            EventLog.of(NodeEvent.WORKER_SILENT)
-                    .with("worker", info.id())
-                    .with("answer", reply.answer())
-                    .with("detail", reply.detail())
-                    .write();
+            events.silent(reply);
         }
         if (consecutiveFailures >= UNRESPONSIVE_AFTER_FAILURES && haveLeasesLapsed()) {
             declareRunsLost("its leases have lapsed", clock.monotonicMillis() - worstLeaseMillis());
         }
+        useAnnouncedEntryIfIdle();
         pause.begin(RETRY_PAUSE_MILLIS);
     }
 
     private void declareRunsLost(String cause, long unansweredBeforeMillis) {
         if (mayHaveRuns()) {
-            EventLog.of(NodeEvent.WORKER_LOST)
-                    .with("worker", info.id())
-                    .with("cause", cause)
-                    .write();
+            events.lost(cause);
         }
         callbacks.workerLost(info.id(), unansweredBeforeMillis);
         if (!state.isWorkerKnown(info.id())) {
@@ -382,6 +375,13 @@
         }
     }
 
+    /** Takes the kept entry for the current one, if the worker doesn't answer and has no runs. */
+    private void useAnnouncedEntryIfIdle() {
+        if (!mayHaveRuns()) {
+            incarnations.takeAnnounced().ifPresent(this::beginWithEntry);
+        }
+    }
+
     private long lastEndNumber() {
         return state.workerReports().lastEndNumber(info.id());
     }
@@ -404,11 +404,9 @@
 
     /** A new incarnation has its own clock, has no leases, and numbers its ends of runs afresh. */
     private void beginIncarnation(long bornMillis, String shownBy) {
-        EventLog.of(NodeEvent.WORKER_RESTARTED)
-                .with("worker", info.id())
-                .with("bornMillis", bornMillis)
-                .with("shownBy", shownBy)
-                .write();
+        events.restarted(bornMillis, shownBy);
+        incarnations.begin(bornMillis);
+        state.workerReports().beginIncarnation(info.id(), bornMillis);
         info = info.withBornMillis(bornMillis);
         resetLeaseClock();
         acknowledgements.beginIncarnation(bornMillis);
@@ -433,10 +431,7 @@
             return;
         }
         if (leaseClock.showsRestart(workerClockMillis.getAsLong(), call.sentMillis())) {
-            EventLog.of(NodeEvent.WORKER_RESTARTED)
-                    .with("worker", info.id())
-                    .with("shownBy", "its clock")
-                    .write();
+            events.clockShowsRestart();
             resetLeaseClock();
             acknowledgements.awaitLists();
             state.workerReports().require(info.id());
