Fuzz restarts of workers whose clocks are set back and forth

Restarts draw a start time that is higher or lower than the one before, and a quarter of them is followed by an entry of the ended incarnation up to 4 s later. 25 new seeds, beside the present ones, which draw as before.

--- a/node/src/test/java/io/cardamomshelf/node/schedule/WorkerRestartFuzzTest.java
+++ b/node/src/test/java/io/cardamomshelf/node/schedule/WorkerRestartFuzzTest.java
@@ -10,6 +10,7 @@
 import io.cardamomshelf.node.port.KeyedStore.Stream;
 import io.cardamomshelf.node.store.JobRecords;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
@@ -27,6 +28,7 @@
     private static final String[] WORKERS = {"w1", "w2", "w3", "w4"};
     private static final long SIMULATED_MILLIS = 60_000;
     private static final int MAX_JOBS = 60;
+    private static final long HEARTBEAT_MILLIS = 2_000;
 
     /** Longer than the leases of an unresponsive worker take to lapse, in milliseconds. */
     private static final long RECOVERY_MILLIS = 15_000;
@@ -39,6 +41,11 @@
     /** Whether schedulers are replaced too. */
     private boolean replacesSchedulers;
 
+    /** Whether the time of day of workers' machines is set back and forth. */
+    private boolean setsClocks;
+
+    private final Set<Long> usedBornMillis = new HashSet<>(Set.of(1L));
+
     private void simulate(long seed) {
         random = new Random(seed);
         storeConfigurationAndWorkers(WORKERS);
@@ -110,10 +117,29 @@
 
     /** Restarts a worker, which registers some time later. */
     private void restart(String worker, long registrationDelayMillis) {
-        workers.restart(worker);
+        if (setsClocks) {
+            long endedBornMillis = workers.worker(worker).bornMillis;
+            workers.restart(worker, unusedBornMillis());
+            if (random.nextInt(4) == 0) {
+                writeLate(worker, endedBornMillis, random.nextInt(4_000));
+            }
+        } else {
+            workers.restart(worker);
+        }
         time.after(registrationDelayMillis, () -> register(worker));
     }
 
+    private long unusedBornMillis() {
+        long bornMillis = random.nextInt(1_000_000);
+        return usedBornMillis.add(bornMillis) ? bornMillis : unusedBornMillis();
+    }
+
+    /** Writes the entry of an ended incarnation, and that of the current one with its next beat. */
+    private void writeLate(String worker, long bornMillis, long delayMillis) {
+        time.after(delayMillis, () -> store.write(Stream.WORKERS, record(worker, bornMillis)));
+        time.after(delayMillis + HEARTBEAT_MILLIS, () -> register(worker));
+    }
+
     /** Starts a new process. The old one may go on without connections and must not interfere. */
     private void replaceScheduler() {
         switch (random.nextInt(3)) {
@@ -183,6 +209,26 @@
             assertEachTaskRanOnceAndNoneIsLeft();
         }
 
+        /** Guards against an order of incarnations by their start times. */
+        @ParameterizedTest
+        @ValueSource(
+                longs = {201, 202, 203, 204, 205, 206, 207, 208, 209, 210, 211, 212, 213, 214, 215})
+        void onMachinesWhoseClocksAreSetCauseNeither(long seed) {
+            setsClocks = true;
+            simulate(seed);
+            assertEachTaskRanOnceAndNoneIsLeft();
+        }
+
+        /** Guards against the same beside changes of the scheduler. */
+        @ParameterizedTest
+        @ValueSource(longs = {301, 302, 303, 304, 305, 306, 307, 308, 309, 310})
+        void onMachinesWhoseClocksAreSetBesideChangesOfTheSchedulerCauseNeither(long seed) {
+            setsClocks = true;
+            replacesSchedulers = true;
+            simulate(seed);
+            assertEachTaskRanOnceAndNoneIsLeft();
+        }
+
         @ParameterizedTest
         @ValueSource(
                 longs = {
