--- a/node/src/main/java/io/cardamomshelf/node/schedule/SchedulerCandidate.java
+++ b/node/src/main/java/io/cardamomshelf/node/schedule/SchedulerCandidate.java
@@ -360,9 +360,6 @@
     private void electionMissed(Object cause) {
         pendingTerm = null;
         electionTimer.signReceived(clock.now());
-        if (jobs.leader().filter(this::hasEndedSinceCandidacy).isPresent()) {
-            electionTimer.schedulerResigned();
-        }
         metrics.count(Name.ELECTIONS, "missed");
         EventLog.of(NodeEvent.LEADERSHIP_MISSED)
                 .with("epoch", candidacy.epoch())
@@ -373,16 +370,6 @@
         }
     }
 
-    /**
-     * Returns whether the election for which this process was a candidate, or a later one, led to
-     * no scheduler or to one that has resigned. If the record has this node's name, its append was
-     * stored but counts as unanswered.
-     */
-    private boolean hasEndedSinceCandidacy(JobRecords.Leader last) {
-        return last.epoch() >= candidacy.epoch()
-                && (last.resigned() || last.holder().equals(settings.name()));
-    }
-
     private SchedulerTerm createTerm() {
         long epoch = candidacy.epoch();
         Runnable onDeposed = () -> deposed(epoch);
