Fuzz successions with rival candidates and equal random numbers

SuccessionFuzzTest had one connected process at a time, so that elections were seldom contested. Ten seeds each start two processes at a time, with numbers of their own and with equal ones.

--- a/node/src/test/java/io/cardamomshelf/node/schedule/SuccessionFuzzTest.java
+++ b/node/src/test/java/io/cardamomshelf/node/schedule/SuccessionFuzzTest.java
@@ -29,11 +29,13 @@
     private Random random;
     private Process newestProcess;
     private int processCount;
+    private boolean equalRandomNumbers;
+    private boolean rivals;
 
     private void simulate(long seed) {
         random = new Random(seed);
         storeConfigurationAndWorkers(WORKERS);
-        newestProcess = new Process("p" + processCount++);
+        newestProcess = startProcess();
         long endMillis = time.monotonicMillis() + SIMULATED_MILLIS;
         while (time.monotonicMillis() < endMillis) {
             time.advance(random.nextInt(800));
@@ -110,7 +112,19 @@
             case 1 -> newestProcess.links.disconnectStore();
             default -> newestProcess.candidate.resign().subscribe().with(done -> {});
         }
-        newestProcess = new Process("p" + processCount++);
+        newestProcess = startProcess();
+    }
+
+    /** Starts a process; if candidates are to have equal random numbers, starts two. */
+    private Process startProcess() {
+        if (rivals) {
+            new Process("p" + processCount++);
+        }
+        if (!equalRandomNumbers) {
+            return new Process("p" + processCount++);
+        }
+        new Process("p" + processCount++, 1, new Random(1));
+        return new Process("p" + processCount++, 1, new Random(1));
     }
 
     /** Ends all faults, and finishes runs until every job has ended. */
@@ -137,6 +151,22 @@
             causeNeitherOverlappingRunsNorUnendedJobs(seed);
         }
 
+        /** Guards against overlapping terms of processes that stay connected. */
+        @ParameterizedTest
+        @ValueSource(longs = {51, 52, 53, 54, 55, 56, 57, 58, 59, 60})
+        void causeNeitherWithRivals(long seed) {
+            rivals = true;
+            causeNeitherOverlappingRunsNorUnendedJobs(seed);
+        }
+
+        /** Guards against two schedulers of one epoch, which start the same tasks. */
+        @ParameterizedTest
+        @ValueSource(longs = {51, 52, 53, 54, 55, 56, 57, 58, 59, 60})
+        void causeNeitherWithEqualRandomNumbers(long seed) {
+            equalRandomNumbers = true;
+            causeNeitherOverlappingRunsNorUnendedJobs(seed);
+        }
+
         @ParameterizedTest
         @ValueSource(
                 longs = {
