Confirm a scheduler's append by its records if the answer is lost

Cause: a run starts only on a host that is stored, and the scheduler took an append as stored only by its answer. A lost answer costs a timeout of 1.5 s and a repeat, whose answer may be lost, too. Two in a row are over 3 s. The scheduler reads its records back all the while.

Ruled out: a record of another scheduler. An older one is fenced; a newer one's leader record comes first in the stream and ends the term before its other records are read. Where records are loaded at once that order doesn't hold, so these confirm nothing (JobsViewTest). The same epoch has one scheduler, as its first append wins it.

Why it works: a scheduler has one append in flight, of which all records are stored or none. So a scheduler's record beyond the last confirmed append shows that the one in flight is stored. A later answer to it, or to a repeat, has a sequence number that is no longer current and is ignored.

--- a/node/src/main/java/io/cardamomshelf/node/schedule/SchedulerCandidate.java
+++ b/node/src/main/java/io/cardamomshelf/node/schedule/SchedulerCandidate.java
@@ -262,6 +262,13 @@
         }
     }
 
+    @Override
+    public void schedulerRecordRead(long offset) {
+        if (term != null) {
+            term.appender().recordRead(offset);
+        }
+    }
+
     @Override
     public void caughtUp() {
         electionTimer.readCompleted(clock.now());
--- a/node/src/main/java/io/cardamomshelf/node/store/JobsView.java
+++ b/node/src/main/java/io/cardamomshelf/node/store/JobsView.java
@@ -42,6 +42,14 @@
          */
         void leaderRecordRead(JobRecords.Leader leader);
 
+        /**
+         * Called for each record that a scheduler has stored, after all earlier ones were applied;
+         * not for records that are loaded at once, as those that later ones replaced are missing.
+         *
+         * @param offset the record's offset in the stream
+         */
+        default void schedulerRecordRead(long offset) {}
+
         /** Called when the view has reached the end of the stream. */
         void caughtUp();
     }
@@ -205,9 +213,18 @@
         switch (JobRecords.kindOf(record)) {
             case ACCEPTED -> applyAccepted(record);
             case CANCELLED -> applyCancelled(record);
-            case PROGRESS -> applyProgress(record);
-            case LEADER -> applyLeader(record);
-            case WORKER -> roster.apply(record);
+            case PROGRESS -> {
+                applyProgress(record);
+                notifySchedulerRecord(record);
+            }
+            case LEADER -> {
+                applyLeader(record);
+                notifySchedulerRecord(record);
+            }
+            case WORKER -> {
+                roster.apply(record);
+                notifySchedulerRecord(record);
+            }
             default -> throw new StoreException("unknown key");
         }
     }
@@ -259,6 +276,12 @@
         }
     }
 
+    private void notifySchedulerRecord(StoredRecord record) {
+        if (!replacing) {
+            listener.schedulerRecordRead(record.offset());
+        }
+    }
+
     private Entry entryOf(StoredRecord record) {
         return entries.computeIfAbsent(JobRecords.jobId(record), id -> new Entry());
     }
--- a/node/src/main/java/io/cardamomshelf/node/store/SchedulerAppender.java
+++ b/node/src/main/java/io/cardamomshelf/node/store/SchedulerAppender.java
@@ -17,7 +17,8 @@
  *
  * <p>Use: the scheduler calls {@code append(records, whenStored)}. Records that are added while an
  * append is in flight are sent together in the next one. A repeat has the same sequence number, so
- * that the store doesn't store it twice.
+ * that the store doesn't store it twice. Its answer may be lost, so {@code recordRead} confirms an
+ * append, too: no other process stores a scheduler's records during a term.
  *
  * <p>Not thread-safe: belongs to the instance's event loop.
  */
@@ -36,9 +37,14 @@
     private long sequence;
     private List<StoredRecord> queued = new ArrayList<>();
     private List<Runnable> queuedCallbacks = new ArrayList<>();
+    private List<StoredRecord> sent = List.of();
+    private List<Runnable> sentCallbacks = List.of();
     private boolean inFlight;
     private boolean closed;
 
+    /** An offset that no record of a confirmed append has, nor any after it. */
+    private long confirmedEndOffset;
+
     /**
      * Creates an appender.
      *
@@ -92,30 +98,38 @@
             return;
         }
         inFlight = true;
-        send(records, callbacks);
+        sent = records;
+        sentCallbacks = callbacks;
+        send(sequence);
     }
 
-    private void send(List<StoredRecord> records, List<Runnable> callbacks) {
-        if (closed) {
+    /**
+     * Confirms the append in flight, if this record of a scheduler is one of it.
+     *
+     * @param offset the record's offset in the jobs' stream
+     */
+    public void recordRead(long offset) {
+        if (inFlight && !closed && offset >= confirmedEndOffset) {
+            confirmSent(offset + sent.size());
+        }
+    }
+
+    private void send(long sentSequence) {
+        if (closed || sentSequence != sequence) {
             return;
         }
-        store.append(records, Optional.of(new Writer(epoch, sequence)), TIMEOUT_MILLIS)
+        store.append(sent, Optional.of(new Writer(epoch, sequence)), TIMEOUT_MILLIS)
                 .subscribe()
-                .with(outcome -> handleOutcome(outcome, records, callbacks));
+                .with(outcome -> handleOutcome(outcome, sentSequence));
     }
 
-    private void handleOutcome(
-            AppendOutcome outcome, List<StoredRecord> records, List<Runnable> callbacks) {
-        if (closed) {
+    /** Handles an answer, unless the append has been confirmed by its records already. */
+    private void handleOutcome(AppendOutcome outcome, long sentSequence) {
+        if (closed || sentSequence != sequence) {
             return;
         }
-        if (outcome instanceof AppendOutcome.Stored) {
-            sequence++;
-            inFlight = false;
-            callbacks.forEach(Runnable::run);
-            if (!inFlight && !(queued.isEmpty() && queuedCallbacks.isEmpty())) {
-                sendQueued();
-            }
+        if (outcome instanceof AppendOutcome.Stored stored) {
+            confirmSent(stored.offset() + sent.size());
         } else if (outcome instanceof AppendOutcome.Deposed) {
             close();
             onDeposed.run();
@@ -126,7 +140,18 @@
                     .with("sequence", sequence)
                     .with("outcome", outcome)
                     .write();
-            timers.after(RETRY_MILLIS, () -> send(records, callbacks));
+            timers.after(RETRY_MILLIS, () -> send(sentSequence));
+        }
+    }
+
+    private void confirmSent(long endOffset) {
+        List<Runnable> callbacks = sentCallbacks;
+        sequence++;
+        confirmedEndOffset = Math.max(confirmedEndOffset, endOffset);
+        inFlight = false;
+        callbacks.forEach(Runnable::run);
+        if (!inFlight && !(queued.isEmpty() && queuedCallbacks.isEmpty())) {
+            sendQueued();
         }
     }
 }
--- a/node/src/test/java/io/cardamomshelf/node/store/JobsViewTest.java
+++ b/node/src/test/java/io/cardamomshelf/node/store/JobsViewTest.java
@@ -2,15 +2,20 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
+import io.cardamomshelf.core.base.WorkerId;
 import io.cardamomshelf.node.port.StoredRecord;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
 import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
-/** Tests which records the view of the jobs ignores. */
+/** Tests which records the view of the jobs ignores, and which it reports. */
 class JobsViewTest {
 
+    private final List<Long> schedulerOffsets = new ArrayList<>();
     private final JobsView view =
             new JobsView(
                     new JobsView.Listener() {
@@ -20,6 +25,11 @@
                         @Override
                         public void leaderRecordRead(JobRecords.Leader leader) {}
 
+                        @Override
+                        public void schedulerRecordRead(long offset) {
+                            schedulerOffsets.add(offset);
+                        }
+
                         @Override
                         public void caughtUp() {}
                     });
@@ -35,4 +45,18 @@
             assertEquals(0, view.acceptedJobs().size());
         }
     }
+
+    @Nested
+    class RecordsOfASchedulerThatAreLoadedAtOnce {
+
+        /** Guards against an append that is confirmed by a later scheduler's records. */
+        @Test
+        void areNotReported() {
+            StoredRecord drop = JobRecords.workerDropped(WorkerId.of("w1"));
+            view.replace(List.of(new StoredRecord(drop.key(), drop.value(), 7)));
+            assertEquals(List.of(), schedulerOffsets);
+            view.apply(new StoredRecord(drop.key(), drop.value(), 8));
+            assertEquals(List.of(8L), schedulerOffsets);
+        }
+    }
 }
