--- a/node/src/main/java/io/cardamomshelf/node/schedule/SchedulerCandidate.java
+++ b/node/src/main/java/io/cardamomshelf/node/schedule/SchedulerCandidate.java
@@ -263,6 +263,13 @@
         }
     }
 
+    @Override
+    public void schedulerRecordRead(long offset) {
+        if (term != null) {
+            term.appender().recordRead(offset);
+        }
+    }
+
     @Override
     public void caughtUp() {
         electionTimer.readCompleted(clock.now());
