--- a/node/src/test/java/io/cardamomshelf/node/schedule/FleetFuzzTest.java
+++ b/node/src/test/java/io/cardamomshelf/node/schedule/FleetFuzzTest.java
@@ -127,16 +127,22 @@
         store.appendMillis = 4 + random.nextInt(400);
     }
 
-    /** Kills or resigns a process, and starts another one under its name. */
+    /**
+     * Ends a process, and starts another one under its name. The old one may still live for some
+     * seconds, paused or cut off from the store.
+     */
     private void restart(int index) {
         Process old = processes[index];
-        if (random.nextBoolean()) {
-            old.ownTime.kill();
-        } else {
-            old.candidate.resign().subscribe().with(done -> old.ownTime.kill());
-            time.advance(random.nextInt(1_500));
-            old.ownTime.kill();
+        switch (random.nextInt(4)) {
+            case 0 -> old.ownTime.kill();
+            case 1 -> old.ownTime.pause(random.nextInt(6_000));
+            case 2 -> old.links.disconnectStore();
+            default -> {
+                old.candidate.resign().subscribe().with(done -> old.ownTime.kill());
+                time.advance(random.nextInt(1_500));
+            }
         }
+        time.after(random.nextInt(8_000), old.ownTime::kill);
         processes[index] = new Process("p" + index, 1, new Random(random.nextLong()));
     }
 
