--- a/sessions/src/main/java/io/cardamomshelf/sessions/ChildProcess.java
+++ b/sessions/src/main/java/io/cardamomshelf/sessions/ChildProcess.java
@@ -2,7 +2,6 @@
 
 import java.io.BufferedReader;
 import java.io.IOException;
-import java.io.InputStreamReader;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -11,6 +10,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 
 /**
  * A child process on this host that runs a main class with the class path of this process.
@@ -47,21 +47,9 @@
     public static ChildProcess start(Path errors, Class<?> mainClass, String... args)
             throws SessionException {
         try {
-            Process process =
-                    new ProcessBuilder(command(mainClass, args))
-                            .redirectError(errors.toFile())
-                            .start();
-            BufferedReader reader =
-                    new BufferedReader(
-                            new InputStreamReader(
-                                    process.getInputStream(), StandardCharsets.UTF_8));
-            String line = reader.readLine();
-            if (line == null || !line.startsWith("ready ")) {
-                process.destroyForcibly();
-                throw new SessionException(
-                        mainClass.getSimpleName() + " printed no ready line, but: " + line);
-            }
-            return new ChildProcess(process, parsePorts(line));
+            Process process = startProcess(errors, mainClass, args);
+            BufferedReader reader = process.inputReader(StandardCharsets.UTF_8);
+            return new ChildProcess(process, readPorts(process, reader, mainClass));
         } catch (IOException e) {
             throw new SessionException(mainClass.getSimpleName() + " can't start: " + e);
         }
@@ -102,6 +90,91 @@
         }
     }
 
+    /**
+     * Starts a process whose first line says that it is ready, and passes on all further lines.
+     *
+     * @param errors the file for its standard error, not null
+     * @param lines receives the further lines of its standard output on a thread of its own, not
+     *     null
+     * @param mainClass the class to run, not null
+     * @param args its arguments, not null
+     * @return the process, never null
+     * @throws SessionException if it ends before it is ready
+     */
+    static ChildProcess startReporting(
+            Path errors, Consumer<String> lines, Class<?> mainClass, String... args)
+            throws SessionException {
+        try {
+            Process process = startProcess(errors, mainClass, args);
+            BufferedReader reader = process.inputReader(StandardCharsets.UTF_8);
+            ChildProcess child = new ChildProcess(process, readPorts(process, reader, mainClass));
+            Thread thread = new Thread(() -> reader.lines().forEach(lines));
+            thread.setDaemon(true);
+            thread.start();
+            return child;
+        } catch (IOException e) {
+            throw new SessionException(mainClass.getSimpleName() + " can't start: " + e);
+        }
+    }
+
+    /**
+     * Starts a process and doesn't wait for it.
+     *
+     * @param output the file that its standard output is appended to, not null
+     * @param errors the file that its standard error is appended to, not null
+     * @param mainClass the class to run, not null
+     * @param args its arguments, not null
+     * @return the process, never null
+     * @throws SessionException if it can't start
+     */
+    static ChildProcess launch(Path output, Path errors, Class<?> mainClass, String... args)
+            throws SessionException {
+        try {
+            Process process =
+                    new ProcessBuilder(command(mainClass, args))
+                            .redirectOutput(ProcessBuilder.Redirect.appendTo(output.toFile()))
+                            .redirectError(ProcessBuilder.Redirect.appendTo(errors.toFile()))
+                            .start();
+            return new ChildProcess(process, Map.of());
+        } catch (IOException e) {
+            throw new SessionException(mainClass.getSimpleName() + " can't start: " + e);
+        }
+    }
+
+    private static Process startProcess(Path errors, Class<?> mainClass, String... args)
+            throws IOException {
+        return new ProcessBuilder(command(mainClass, args))
+                .redirectError(ProcessBuilder.Redirect.appendTo(errors.toFile()))
+                .start();
+    }
+
+    private static Map<String, Integer> readPorts(
+            Process process, BufferedReader reader, Class<?> mainClass)
+            throws IOException, SessionException {
+        String line = reader.readLine();
+        if (line == null || !line.startsWith("ready ")) {
+            process.destroyForcibly();
+            throw new SessionException(
+                    mainClass.getSimpleName() + " printed no ready line, but: " + line);
+        }
+        return parsePorts(line);
+    }
+
+    /**
+     * Writes a line to the standard input of the process.
+     *
+     * @param line the line, not null
+     * @throws SessionException if the process has ended
+     */
+    synchronized void send(String line) throws SessionException {
+        try {
+            process.getOutputStream().write((line + "\n").getBytes(StandardCharsets.UTF_8));
+            process.getOutputStream().flush();
+        } catch (IOException e) {
+            throw new SessionException("process " + process.pid() + " takes no input: " + e);
+        }
+    }
+
     private boolean hasLogged(Path output, long from, String text) throws SessionException {
         try {
             byte[] all = Files.readAllBytes(output);
--- a/sessions/src/main/java/io/cardamomshelf/sessions/PlatformDeployment.java
+++ b/sessions/src/main/java/io/cardamomshelf/sessions/PlatformDeployment.java
@@ -7,7 +7,6 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.LinkedHashMap;
-import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.regex.Matcher;
@@ -293,21 +292,8 @@
     }
 
     private String settings(String name, int callers, int ready) throws SessionException {
-        return String.join(
-                System.lineSeparator(),
-                List.of(
-                        "node_name=" + name,
-                        "zone=dc-1",
-                        "ip=" + HOST,
-                        "listen.frontend=" + HOST + ":" + callers,
-                        "listen.ready_address=" + HOST + ":" + ready,
-                        "internal_ports=" + freePort() + ",0",
-                        "bounds.revoke_ms=5000",
-                        "bounds.visible_ms=3000",
-                        "bounds.grace_s=6",
-                        "bounds.max_hold_ms=10000",
-                        "bounds.status_s=120",
-                        "platform.address=" + storeAddress()));
+        return InstanceSettings.text(
+                name, "dc-1", callers, ready, freePort(), standinPort("store"));
     }
 
     private static String read(Path file) throws SessionException {
--- a/standin/src/main/java/io/cardamomshelf/standin/platform/PlatformStandinMain.java
+++ b/standin/src/main/java/io/cardamomshelf/standin/platform/PlatformStandinMain.java
@@ -42,7 +42,11 @@
             String dataCentre = i % 2 == 0 ? "dc-1" : "dc-2";
             String rack = "r" + (i % 2) + "-" + i / (2 * WORKERS_PER_RACK);
             TaskWorkerStandin worker =
-                    new TaskWorkerStandin(vertx, store, counter, "i-" + i, dataCentre, rack);
+                    new TaskWorkerStandin(
+                            vertx,
+                            store::registerWorker,
+                            counter,
+                            TaskWorkerStandin.Profile.of("i-" + i, dataCentre, rack));
             worker.start().await().indefinitely();
             workers.put("i-" + i, worker);
         }
--- a/standin/src/main/java/io/cardamomshelf/standin/platform/RunCounter.java
+++ b/standin/src/main/java/io/cardamomshelf/standin/platform/RunCounter.java
@@ -7,20 +7,22 @@
  * Counts the starts of runs on all workers, and those while another run of the same task was going
  * on.
  */
-final class RunCounter {
+final class RunCounter implements WorkerListener {
 
     private final Map<String, Integer> runningByTask = new HashMap<>();
     private int starts;
     private int overlaps;
 
-    void begin(String task) {
+    @Override
+    public void began(String worker, Start start) {
         starts++;
-        if (runningByTask.merge(task, 1, Integer::sum) > 1) {
+        if (runningByTask.merge(start.task(), 1, Integer::sum) > 1) {
             overlaps++;
         }
     }
 
-    void end(String task) {
+    @Override
+    public void ended(String worker, String task, long run, String outcome, long number) {
         runningByTask.merge(task, -1, Integer::sum);
     }
 
--- a/standin/src/main/java/io/cardamomshelf/standin/platform/StoreStandin.java
+++ b/standin/src/main/java/io/cardamomshelf/standin/platform/StoreStandin.java
@@ -7,25 +7,38 @@
 import io.vertx.core.json.JsonObject;
 import io.vertx.mutiny.core.Vertx;
 import io.vertx.mutiny.core.buffer.Buffer;
+import io.vertx.mutiny.core.http.HttpConnection;
 import io.vertx.mutiny.core.http.HttpServer;
 import io.vertx.mutiny.core.http.HttpServerRequest;
 import io.vertx.mutiny.ext.web.Router;
 import io.vertx.mutiny.ext.web.RoutingContext;
 import io.vertx.mutiny.ext.web.handler.BodyHandler;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
 import java.util.Base64;
 import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.Consumer;
+import java.util.regex.Pattern;
 
 /**
  * Stands in for the platform's store: topics in memory, served over HTTP, with faults that a test
  * can switch on.
  *
  * <p>Use: {@code PUT /switch/FAULT} with {@code none}, {@code refusing} (answers 503), {@code
- * silent} (does nothing and never answers), {@code losing} (appends without an answer) or {@code
- * expire} (drops the history once). {@code PUT /operator/KEY} writes as an operator; an empty body
- * drops the key.
+ * silent} (does nothing and never answers), {@code losing} (appends without an answer), {@code
+ * late} (appends after two seconds, without an answer), {@code slow} (each call waits first),
+ * {@code reset} (closes all connections, and each new one at its first call) or {@code expire}
+ * (drops the history once). {@code PUT /switch/FAULT?caller=N} affects the calls at the N-th port
+ * only. {@code PUT /operator/KEY} writes as an operator; an empty body drops the key. {@code PUT
+ * /servers/ID} writes a worker's entry, which is dropped after three missed heartbeats.
+ *
+ * <p>If it listens on several ports, one for each caller, it adds the port's index times a stride
+ * to the ports of the workers' addresses, so that each caller reaches each worker through a relay
+ * of its own.
  *
  * <p>Not thread-safe: call it on its event loop only.
  */
@@ -41,10 +54,20 @@
     private static final int SERVICE_UNAVAILABLE = 503;
     private static final int LENGTH_BYTES = 4;
     private static final long POLL_INTERVAL_MILLIS = 5;
+    private static final long LATE_APPEND_MILLIS = 2_000;
+    private static final long SLOW_CALL_MILLIS = 400;
+    private static final long EXPIRY_INTERVAL_MILLIS = 250;
+    private static final long SILENCE_LIMIT_MILLIS =
+            3 * TaskWorkerStandin.HEARTBEAT_INTERVAL_MILLIS;
+    private static final Pattern WORKER_PORT = Pattern.compile("(\"address\":\"[0-9.]+:)(\\d+)");
 
     private final Vertx vertx;
     private final Map<String, Topic> topics = new HashMap<>();
-    private String fault = "none";
+    private final Map<Integer, String> faults = new HashMap<>();
+    private final Map<Integer, Integer> callersByPort = new HashMap<>();
+    private final Map<String, Long> heartbeats = new HashMap<>();
+    private final Set<HttpConnection> connections = new HashSet<>();
+    private int stride;
 
     /**
      * Creates a store.
@@ -61,17 +84,92 @@
      * @return the port, once it listens
      */
     public Uni<Integer> start() {
+        return listen(0, 0);
+    }
+
+    /**
+     * Starts listening on one port for each caller and limits the history.
+     *
+     * @param ports the ports in the order of the callers, not null
+     * @param portStride the distance between the workers' ports of two callers
+     * @param keepMillis the age of the oldest readable record, in milliseconds
+     * @return completes once all listen
+     */
+    public Uni<Void> start(List<Integer> ports, int portStride, long keepMillis) {
+        stride = portStride;
+        vertx.setPeriodic(EXPIRY_INTERVAL_MILLIS, timer -> dropSilentWorkers());
+        vertx.setPeriodic(
+                EXPIRY_INTERVAL_MILLIS,
+                timer -> {
+                    long oldest = System.currentTimeMillis() - keepMillis;
+                    topics.values().forEach(topic -> topic.expireBefore(oldest));
+                });
+        List<Uni<Integer>> started = new ArrayList<>();
+        for (int i = 0; i < ports.size(); i++) {
+            started.add(listen(ports.get(i), i));
+        }
+        return Uni.join().all(started).andFailFast().replaceWithVoid();
+    }
+
+    private Uni<Integer> listen(int port, int caller) {
         Router router = Router.router(vertx);
         router.route().handler(BodyHandler.create(false));
         router.put("/switch/:trouble").handler(this::switchFault);
         router.put("/operator/*").handler(this::appendAsOperator);
+        router.put("/servers/:id").handler(this::takeHeartbeat);
         router.post("/log-append").handler(context -> applyFault(context, this::append));
         router.get("/log-read").handler(context -> applyFault(context, this::read));
         router.get("/log-newest").handler(context -> applyFault(context, this::newest));
         return vertx.createHttpServer()
+                .connectionHandler(this::addConnection)
                 .requestHandler(router)
-                .listen(0, LOOPBACK)
-                .map(HttpServer::actualPort);
+                .listen(port, LOOPBACK)
+                .map(HttpServer::actualPort)
+                .invoke(actualPort -> callersByPort.put(actualPort, caller));
+    }
+
+    private void addConnection(HttpConnection connection) {
+        connections.add(connection);
+        connection.closeHandler(() -> connections.remove(connection));
+    }
+
+    private void takeHeartbeat(RoutingContext context) {
+        String id = context.pathParam("id");
+        heartbeats.put(id, System.currentTimeMillis());
+        registerWorker(id, context.body().asJsonObject());
+        context.response().endAndForget();
+    }
+
+    private void dropSilentWorkers() {
+        long oldest = System.currentTimeMillis() - SILENCE_LIMIT_MILLIS;
+        for (String id : List.copyOf(heartbeats.keySet())) {
+            if (heartbeats.get(id) < oldest) {
+                heartbeats.remove(id);
+                topic(WORKERS).append(id, new byte[0]);
+            }
+        }
+    }
+
+    private int caller(RoutingContext context) {
+        return callersByPort.get(context.request().localAddress().port());
+    }
+
+    private String fault(RoutingContext context) {
+        return faults.getOrDefault(caller(context), "none");
+    }
+
+    /** Returns a worker's entry with the port at which the caller reaches it. */
+    private byte[] addressedTo(int caller, byte[] entry) {
+        if (stride == 0 || entry.length == 0) {
+            return entry;
+        }
+        return WORKER_PORT
+                .matcher(new String(entry, StandardCharsets.UTF_8))
+                .replaceFirst(
+                        match ->
+                                match.group(1)
+                                        + (Integer.parseInt(match.group(2)) + caller * stride))
+                .getBytes(StandardCharsets.UTF_8);
     }
 
     /** Writes a worker's entry; faults don't affect it. */
@@ -88,7 +186,15 @@
         if (newFault.equals("expire")) {
             topics.values().forEach(Topic::expire);
         } else {
-            fault = newFault;
+            String caller = context.request().getParam("caller");
+            Set<Integer> affected =
+                    caller == null
+                            ? Set.copyOf(callersByPort.values())
+                            : Set.of(Integer.parseInt(caller));
+            affected.forEach(index -> faults.put(index, newFault));
+            if (newFault.equals("reset")) {
+                closeConnections(affected);
+            }
         }
         context.response().endAndForget();
     }
@@ -100,8 +206,18 @@
         context.response().endAndForget();
     }
 
+    private void closeConnections(Set<Integer> callers) {
+        for (HttpConnection connection : List.copyOf(connections)) {
+            if (callers.contains(callersByPort.get(connection.localAddress().port()))) {
+                connection.closeAndForget();
+            }
+        }
+    }
+
     private void applyFault(RoutingContext context, Consumer<RoutingContext> handler) {
-        switch (fault) {
+        switch (fault(context)) {
+            case "reset" -> context.request().connection().closeAndForget();
+            case "slow" -> vertx.setTimer(SLOW_CALL_MILLIS, timer -> handler.accept(context));
             case "refusing" -> context.response().setStatusCode(SERVICE_UNAVAILABLE).endAndForget();
             case "silent" -> {
                 // The call gets no answer.
@@ -111,6 +227,14 @@
     }
 
     private void append(RoutingContext context) {
+        if (fault(context).equals("late")) {
+            vertx.setTimer(LATE_APPEND_MILLIS, timer -> appendNow(context, false));
+        } else {
+            appendNow(context, !fault(context).equals("losing"));
+        }
+    }
+
+    private void appendNow(RoutingContext context, boolean isAnswered) {
         HttpServerRequest request = context.request();
         String name = request.getParam("topic");
         if (name.equals(OPERATORS) || name.equals(WORKERS)) {
@@ -123,23 +247,25 @@
         if (producer == null) {
             offset = appendAll(topic, context.body().buffer());
         } else {
+            long sequence = Long.parseLong(request.getParam("sequence"));
             SequenceCheck check =
                     topic.checkSequence(
-                            producer,
-                            Long.parseLong(request.getParam("epoch")),
-                            Long.parseLong(request.getParam("sequence")));
+                            producer, Long.parseLong(request.getParam("epoch")), sequence);
             if (check == SequenceCheck.FENCED || check == SequenceCheck.WRONG_SEQUENCE) {
                 String reason = check == SequenceCheck.FENCED ? "fenced" : "seq";
-                answer(context, CONFLICT, new JsonObject().put("reason", reason));
+                if (isAnswered) {
+                    answer(context, CONFLICT, new JsonObject().put("reason", reason));
+                }
                 return;
             }
-            offset =
-                    check == SequenceCheck.REPEATED
-                            ? topic.lastOffset(producer)
-                            : appendAll(topic, context.body().buffer());
-            topic.setLastOffset(producer, offset);
+            if (check == SequenceCheck.REPEATED) {
+                offset = topic.offsetOf(producer, sequence);
+            } else {
+                offset = appendAll(topic, context.body().buffer());
+                topic.rememberOffset(producer, sequence, offset);
+            }
         }
-        if (!fault.equals("losing")) {
+        if (isAnswered) {
             answer(
                     context,
                     OK,
@@ -188,10 +314,11 @@
         Buffer body = Buffer.buffer().appendLong(topic.endOffset()).appendLong(topic.firstOffset());
         for (Entry entry : topic.entriesFrom(from)) {
             byte[] key = entry.key().getBytes(StandardCharsets.UTF_8);
-            body.appendInt(1 + key.length + entry.value().length);
-            body.appendByte((byte) key.length).appendBytes(key).appendBytes(entry.value());
+            byte[] value = valueFor(context, topic, entry);
+            body.appendInt(1 + key.length + value.length);
+            body.appendByte((byte) key.length).appendBytes(key).appendBytes(value);
         }
-        if (!context.response().closed()) {
+        if (!fault(context).equals("silent") && !context.response().closed()) {
             context.response().endAndForget(body);
         }
     }
@@ -203,7 +330,10 @@
             items.add(
                     new JsonObject()
                             .put("key", entry.key())
-                            .put("value", Base64.getEncoder().encodeToString(entry.value()))
+                            .put(
+                                    "value",
+                                    Base64.getEncoder()
+                                            .encodeToString(valueFor(context, topic, entry)))
                             .put("offset", entry.offset()));
         }
         answer(
@@ -215,6 +345,12 @@
                         .put("end", topic.endOffset()));
     }
 
+    private byte[] valueFor(RoutingContext context, Topic topic, Entry entry) {
+        return topic == topic(WORKERS)
+                ? addressedTo(caller(context), entry.value())
+                : entry.value();
+    }
+
     static void answer(RoutingContext context, int status, JsonObject body) {
         context.response()
                 .setStatusCode(status)
--- a/standin/src/main/java/io/cardamomshelf/standin/platform/TaskWorkerStandin.java
+++ b/standin/src/main/java/io/cardamomshelf/standin/platform/TaskWorkerStandin.java
@@ -1,5 +1,6 @@
 package io.cardamomshelf.standin.platform;
 
+import io.cardamomshelf.standin.platform.WorkerListener.Start;
 import io.smallrye.mutiny.Uni;
 import io.vertx.core.json.JsonArray;
 import io.vertx.core.json.JsonObject;
@@ -23,7 +24,7 @@
  *
  * <p>Use: the spec {@code ms=N} is a task's run time in milliseconds; with {@code ms=N fail} the
  * run ends as failed. The worker renews its registry entry by itself. It can be restarted under its
- * identifier, and made unhealthy.
+ * identifier, paused, and made unhealthy.
  *
  * <p>Not thread-safe: call it on its event loop only.
  */
@@ -33,16 +34,38 @@
     private static final int OK = 200;
     private static final int CONFLICT = 409;
     private static final int SERVICE_UNAVAILABLE = 503;
-    private static final long HEARTBEAT_INTERVAL_MILLIS = 500;
+    static final long HEARTBEAT_INTERVAL_MILLIS = 500;
 
     /** How long a restarted worker takes calls before it registers, in milliseconds. */
     private static final long REGISTRATION_DELAY_MILLIS = 300;
 
     private static final long CHECK_INTERVAL_MILLIS = 20;
+    private static final long MAX_LEASE_MILLIS = 10_000;
     private static final int CPU_MILLIS = 128_000;
     private static final int MEMORY_MB = 512_000;
     private static final int ACCELERATORS = 8;
 
+    /**
+     * What a worker says of itself, and how it behaves.
+     *
+     * @param port the port to listen on, 0 for a free one
+     * @param advertisedPort the port in its registry entry, 0 for the one it listens on
+     * @param stopMillis how long a stop takes, in milliseconds
+     */
+    record Profile(
+            String id,
+            String dataCentre,
+            String rack,
+            int port,
+            int advertisedPort,
+            long stopMillis) {
+
+        /** Creates the profile of a worker on a free port, whose stops take no time. */
+        static Profile of(String id, String dataCentre, String rack) {
+            return new Profile(id, dataCentre, rack, 0, 0, 0);
+        }
+    }
+
     private static final class Run {
         private long number;
         private long endsMillis;
@@ -50,12 +73,12 @@
     }
 
     private final Vertx vertx;
-    private final StoreStandin store;
-    private final RunCounter counter;
+    private final BiConsumer<String, JsonObject> registry;
+    private final WorkerListener listener;
+    private final Profile profile;
     private final String id;
-    private final String dataCentre;
-    private final String rack;
-    private long bornMillis = System.currentTimeMillis();
+    private long startedMillis = System.currentTimeMillis();
+    private long bornMillis = startedMillis;
     private final Map<String, Run> running = new HashMap<>();
     private final Map<String, Long> highestRuns = new HashMap<>();
     private final List<JsonArray> unacknowledgedEnds = new ArrayList<>();
@@ -66,21 +89,22 @@
     private long sequence;
     private int port;
     private long registrationDelayMillis;
+    private long lastCallToken = -1;
+    private String lastCaller = "";
     private boolean unhealthy;
+    private boolean paused;
+    private final List<Runnable> deferredCalls = new ArrayList<>();
 
     TaskWorkerStandin(
             Vertx vertx,
-            StoreStandin store,
-            RunCounter counter,
-            String id,
-            String dataCentre,
-            String rack) {
+            BiConsumer<String, JsonObject> registry,
+            WorkerListener listener,
+            Profile profile) {
         this.vertx = vertx;
-        this.store = store;
-        this.counter = counter;
-        this.id = id;
-        this.dataCentre = dataCentre;
-        this.rack = rack;
+        this.registry = registry;
+        this.listener = listener;
+        this.profile = profile;
+        this.id = profile.id();
     }
 
     Uni<Integer> start() {
@@ -93,11 +117,15 @@
         return vertx.createHttpServer()
                 .connectionHandler(this::addConnection)
                 .requestHandler(router)
-                .listen(0, LOOPBACK)
+                .listen(profile.port(), LOOPBACK)
                 .map(HttpServer::actualPort)
                 .invoke(
                         actualPort -> {
-                            port = actualPort;
+                            port =
+                                    profile.advertisedPort() == 0
+                                            ? actualPort
+                                            : profile.advertisedPort();
+                            listener.up(id, bornMillis);
                             register();
                             vertx.setPeriodic(HEARTBEAT_INTERVAL_MILLIS, timer -> register());
                         });
@@ -113,11 +141,18 @@
      * connections are lost.
      */
     void restart() {
+        restart(0);
+    }
+
+    /** Restarts the worker with a time of day that is off by {@code clockOffsetMillis}. */
+    void restart(long clockOffsetMillis) {
         List<HttpConnection> lost = List.copyOf(connections);
         connections.clear();
         lost.forEach(HttpConnection::closeAndForget);
-        running.keySet().forEach(counter::end);
+        running.forEach((task, run) -> listener.ended(id, task, run.number, "lost", 0));
         running.clear();
+        deferredCalls.clear();
+        paused = false;
         highestRuns.clear();
         unacknowledgedEnds.clear();
         lastEndNumber = 0;
@@ -125,7 +160,25 @@
         leaseEndMillis = 0;
         sequence = 0;
         registrationDelayMillis = REGISTRATION_DELAY_MILLIS;
-        bornMillis = System.currentTimeMillis();
+        startedMillis = System.currentTimeMillis();
+        setClockOffset(clockOffsetMillis);
+        listener.up(id, bornMillis);
+    }
+
+    /** Sets whether the worker holds back all calls, ends and heartbeats; its lease runs on. */
+    void setPaused(boolean value) {
+        paused = value;
+        if (!value) {
+            endFinishedAndLapsedRuns();
+            List<Runnable> calls = List.copyOf(deferredCalls);
+            deferredCalls.clear();
+            calls.forEach(Runnable::run);
+        }
+    }
+
+    /** Sets how far the time of day is off by which the worker says when it started. */
+    void setClockOffset(long millis) {
+        bornMillis = startedMillis + millis;
     }
 
     /** Sets whether the worker refuses all calls and does nothing. */
@@ -134,15 +187,15 @@
     }
 
     private void register() {
-        if (sequence == 0 && clock() < registrationDelayMillis) {
+        if (paused || sequence == 0 && clock() < registrationDelayMillis) {
             return;
         }
-        store.registerWorker(
+        registry.accept(
                 id,
                 new JsonObject()
                         .put("service", "rota")
                         .put("address", LOOPBACK + ":" + port)
-                        .put("zone", dataCentre)
+                        .put("zone", profile.dataCentre())
                         .put("version", "v1")
                         .put("slots", ACCELERATORS)
                         .put("state", "ready")
@@ -155,13 +208,13 @@
                                         .put("cpu", CPU_MILLIS)
                                         .put("mem_mb", MEMORY_MB)
                                         .put("gpus", ACCELERATORS))
-                        .put("labels", new JsonArray().add("a").add(rack))
+                        .put("labels", new JsonArray().add("a").add(profile.rack()))
                         .put("sequence", sequence++));
     }
 
     /** Returns the worker's clock in milliseconds, which starts at 1 with its incarnation. */
     private long clock() {
-        return System.currentTimeMillis() - bornMillis + 1;
+        return System.currentTimeMillis() - startedMillis + 1;
     }
 
     /**
@@ -170,6 +223,11 @@
      */
     private void withFencing(
             RoutingContext context, BiConsumer<RoutingContext, JsonObject> handler) {
+        if (paused) {
+            deferredCalls.add(() -> withFencing(context, handler));
+            return;
+        }
+        endFinishedAndLapsedRuns();
         if (unhealthy) {
             StoreStandin.answer(
                     context, SERVICE_UNAVAILABLE, new JsonObject().put("clock_ms", clock()));
@@ -182,10 +240,24 @@
             return;
         }
         highestToken = presented;
-        leaseEndMillis = Math.max(leaseEndMillis, body.getLong("deadline_ms", 0L));
+        String caller = callerOf(context);
+        if (presented != lastCallToken || !caller.equals(lastCaller)) {
+            lastCallToken = presented;
+            lastCaller = caller;
+            listener.called(id, caller, presented);
+        }
+        long requested = Math.min(body.getLong("deadline_ms", 0L), clock() + MAX_LEASE_MILLIS);
+        if (requested > leaseEndMillis) {
+            leaseEndMillis = requested;
+            listener.leased(id, requested + startedMillis - 1);
+        }
         handler.accept(context, body);
     }
 
+    private static String callerOf(RoutingContext context) {
+        return context.request().remoteAddress().host();
+    }
+
     private void start(RoutingContext context, JsonObject body) {
         String task = body.getString("task");
         long runNumber = body.getLong("run");
@@ -198,19 +270,21 @@
             refuse(context, "late");
         } else {
             highestRuns.put(task, runNumber);
-            beginRun(task, runNumber, body.getString("spec"));
+            String spec = body.getString("spec");
+            long token = body.getLong("fencing_token", 0L);
+            beginRun(new Start(task, runNumber, spec, token, callerOf(context)));
             accept(context);
         }
     }
 
-    private void beginRun(String task, long runNumber, String spec) {
+    private void beginRun(Start start) {
         Run run = new Run();
-        run.number = runNumber;
-        run.outcome = spec.endsWith("fail") ? "failed" : "done";
-        String millis = spec.replaceAll("^ms=(\\d+).*$", "$1");
+        run.number = start.run();
+        run.outcome = start.spec().endsWith("fail") ? "failed" : "done";
+        String millis = start.spec().replaceAll("^ms=(\\d+).*$", "$1");
         run.endsMillis = clock() + Long.parseLong(millis);
-        running.put(task, run);
-        counter.begin(task);
+        running.put(start.task(), run);
+        listener.began(id, start);
     }
 
     private void stop(RoutingContext context, JsonObject body) {
@@ -218,14 +292,18 @@
         highestRuns.merge(task, body.getLong("run"), Math::max);
         Run run = running.get(task);
         if (run != null && run.number <= body.getLong("run")) {
-            endRun(task, "stopped");
+            run.outcome = "stopped";
+            run.endsMillis = Math.min(run.endsMillis, clock() + profile.stopMillis());
+            endFinishedAndLapsedRuns();
         }
         accept(context);
     }
 
     private void renewLease(RoutingContext context, JsonObject body) {
         long lastAcknowledgedEnd = body.getLong("last_seen", 0L);
-        unacknowledgedEnds.removeIf(row -> row.getLong(0) <= lastAcknowledgedEnd);
+        if (unacknowledgedEnds.removeIf(row -> row.getLong(0) <= lastAcknowledgedEnd)) {
+            listener.acknowledged(id, lastAcknowledgedEnd);
+        }
         answerRenewal(context, body.getLong("wait_ms", 0L));
     }
 
@@ -252,26 +330,24 @@
     }
 
     private void endFinishedAndLapsedRuns() {
+        if (paused) {
+            return;
+        }
         for (String task : List.copyOf(running.keySet())) {
-            Run run = running.get(task);
-            if (run.endsMillis <= clock()) {
-                endRun(task, run.outcome);
-            } else if (leaseEndMillis <= clock()) {
+            // After a pause, both may have passed; a lapsed lease ends all work first.
+            if (leaseEndMillis <= clock()) {
                 endRun(task, "lapsed");
+            } else if (running.get(task).endsMillis <= clock()) {
+                endRun(task, running.get(task).outcome);
             }
         }
     }
 
     private void endRun(String task, String outcome) {
         Run run = running.remove(task);
-        counter.end(task);
+        listener.ended(id, task, run.number, outcome, ++lastEndNumber);
         unacknowledgedEnds.add(
-                new JsonArray()
-                        .add(++lastEndNumber)
-                        .add(task)
-                        .add(run.number)
-                        .add(outcome)
-                        .add(""));
+                new JsonArray().add(lastEndNumber).add(task).add(run.number).add(outcome).add(""));
     }
 
     private void accept(RoutingContext context) {
--- a/standin/src/main/java/io/cardamomshelf/standin/platform/Topic.java
+++ b/standin/src/main/java/io/cardamomshelf/standin/platform/Topic.java
@@ -4,13 +4,15 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 
 /** A keyed topic in memory: its records, its first readable offset and its producers' state. */
 final class Topic {
 
+    /** How many of a producer's last appends get their first answer again if repeated. */
+    private static final int REPEATS_KEPT = 5;
+
     /** A stored record; an empty value drops the key. */
-    record Entry(String key, byte[] value, long offset) {}
+    record Entry(String key, byte[] value, long offset, long storedMillis) {}
 
     /** The result of checking a producer's epoch and sequence number before an append. */
     enum SequenceCheck {
@@ -23,7 +25,7 @@
     private static final class Producer {
         private long epoch = -1;
         private long sequence;
-        private long lastOffset;
+        private final Map<Long, Long> offsets = new LinkedHashMap<>();
     }
 
     private final List<Entry> entries = new ArrayList<>();
@@ -32,7 +34,7 @@
     private long firstOffset;
 
     long append(String key, byte[] value) {
-        Entry entry = new Entry(key, value, endOffset());
+        Entry entry = new Entry(key, value, endOffset(), System.currentTimeMillis());
         entries.add(entry);
         newest.remove(key);
         if (value.length > 0) {
@@ -54,6 +56,14 @@
         firstOffset = endOffset();
     }
 
+    /** Expires the records stored before a time; the newest record of each key stays readable. */
+    void expireBefore(long millis) {
+        while (firstOffset < endOffset()
+                && entries.get((int) firstOffset).storedMillis() < millis) {
+            firstOffset++;
+        }
+    }
+
     List<Entry> entriesFrom(long offset) {
         int start = (int) Math.min(offset, endOffset());
         return List.copyOf(entries.subList(start, entries.size()));
@@ -72,9 +82,10 @@
         if (epoch > producer.epoch) {
             producer.epoch = epoch;
             producer.sequence = sequence;
+            producer.offsets.clear();
             return SequenceCheck.FRESH;
         }
-        if (sequence == producer.sequence) {
+        if (producer.offsets.containsKey(sequence)) {
             return SequenceCheck.REPEATED;
         }
         if (sequence != producer.sequence + 1) {
@@ -84,12 +95,17 @@
         return SequenceCheck.FRESH;
     }
 
-    void setLastOffset(String name, long offset) {
-        Optional.ofNullable(producers.get(name))
-                .ifPresent(producer -> producer.lastOffset = offset);
+    /** Keeps the first answer to an append, for its repeats. */
+    void rememberOffset(String name, long sequence, long offset) {
+        Map<Long, Long> offsets = producers.get(name).offsets;
+        offsets.put(sequence, offset);
+        if (offsets.size() > REPEATS_KEPT) {
+            offsets.remove(offsets.keySet().iterator().next());
+        }
     }
 
-    long lastOffset(String name) {
-        return producers.get(name).lastOffset;
+    /** Returns the offset of an append that {@code checkSequence} reported as repeated. */
+    long offsetOf(String name, long sequence) {
+        return producers.get(name).offsets.get(sequence);
     }
 }
