Soak: instances resolve the workers' host to relays of their own

A successor calls workers at the addresses that its predecessor stored, so addresses that differ by caller gave the wrong caller to the judge (seed 2: FENCE for an instance that had ended before).

--- a/sessions/src/main/java/io/cardamomshelf/sessions/ChildProcess.java
+++ b/sessions/src/main/java/io/cardamomshelf/sessions/ChildProcess.java
@@ -122,16 +122,20 @@
      *
      * @param output the file that its standard output is appended to, not null
      * @param errors the file that its standard error is appended to, not null
+     * @param options further options of its virtual machine, not null
      * @param mainClass the class to run, not null
      * @param args its arguments, not null
      * @return the process, never null
      * @throws SessionException if it can't start
      */
-    static ChildProcess launch(Path output, Path errors, Class<?> mainClass, String... args)
+    static ChildProcess launch(
+            Path output, Path errors, List<String> options, Class<?> mainClass, String... args)
             throws SessionException {
+        List<String> commandLine = command(mainClass, args);
+        commandLine.addAll(1, options);
         try {
             Process process =
-                    new ProcessBuilder(command(mainClass, args))
+                    new ProcessBuilder(commandLine)
                             .redirectOutput(ProcessBuilder.Redirect.appendTo(output.toFile()))
                             .redirectError(ProcessBuilder.Redirect.appendTo(errors.toFile()))
                             .start();
--- a/sessions/src/main/java/io/cardamomshelf/sessions/SoakDeployment.java
+++ b/sessions/src/main/java/io/cardamomshelf/sessions/SoakDeployment.java
@@ -31,7 +31,7 @@
     static final int GROUP_SIZE = 4;
 
     /** The most workers for which a range has ports. */
-    static final int MAX_WORKERS = 56;
+    static final int MAX_WORKERS = 200;
 
     /** The API key of the clients. */
     static final String KEY = "key-of-the-soak";
@@ -96,7 +96,7 @@
                 ChildProcess.start(
                         folder.resolve("store.err"),
                         SoakStandinMain.class,
-                        texts("store", port(STORE_OFFSET), INSTANCES, workers, HISTORY_MILLIS));
+                        texts("store", port(STORE_OFFSET), INSTANCES, HISTORY_MILLIS));
         String routes =
                 ROUTE.formatted("low", "low", 1) + "," + ROUTE.formatted("urgent", "urgent", 0);
         http.send("PUT", storeAddress() + "/operator/config", CONFIGURATION.formatted(routes, KEY));
@@ -104,7 +104,7 @@
             for (int worker = 0; worker < workers; worker++) {
                 int target = port(WORKER_OFFSET) + worker;
                 relays[caller][worker] = new SoakRelay(vertx, target, sourceAddress(caller));
-                relays[caller][worker].listen(target + (caller + 1) * workers);
+                relays[caller][worker].listen(sourceAddress(caller), target + workers);
             }
         }
         for (int group = 0; group < groups.length; group++) {
@@ -133,7 +133,7 @@
         return "i-" + worker;
     }
 
-    /** Returns the address from which a worker sees an instance's calls. */
+    /** Returns the address of an instance's relays, from which workers see its calls. */
     static String sourceAddress(int instance) {
         return "127.0.0." + (10 + instance);
     }
@@ -181,12 +181,20 @@
                     ChildProcess.launch(
                             folder.resolve(name + ".log"),
                             folder.resolve(name + ".err"),
+                            relayResolution(instance),
                             PlatformMain.class,
                             "--settings",
                             settings.toString());
         }
     }
 
+    /** Makes an instance resolve the workers' host to the address of its own relays. */
+    private List<String> relayResolution(int instance) throws SessionException {
+        Path hosts = folder.resolve(instanceName(instance) + ".hosts");
+        write(hosts, sourceAddress(instance) + " " + SoakStandinMain.RELAY_HOST);
+        return List.of("-Dvertx.disableDnsResolver=true", "-Djdk.net.hosts.file=" + hosts);
+    }
+
     /** Returns the process of an instance. */
     ChildProcess instance(int instance) {
         synchronized (instances) {
--- a/sessions/src/main/java/io/cardamomshelf/sessions/SoakRelay.java
+++ b/sessions/src/main/java/io/cardamomshelf/sessions/SoakRelay.java
@@ -89,10 +89,10 @@
     }
 
     /** Starts listening and returns once it does. */
-    void listen(int port) {
+    void listen(String host, int port) {
         vertx.createNetServer()
                 .connectHandler(this::connect)
-                .listen(port, HOST)
+                .listen(port, host)
                 .toCompletionStage()
                 .toCompletableFuture()
                 .join();
--- a/standin/src/main/java/io/cardamomshelf/standin/platform/SoakStandinMain.java
+++ b/standin/src/main/java/io/cardamomshelf/standin/platform/SoakStandinMain.java
@@ -19,13 +19,16 @@
 /**
  * Runs the store's stand-in, or some workers' stand-ins, as a process of a soak.
  *
- * <p>Prints {@code ready} once all listen; the workers' process then prints a line for each event
+ * <p>Prints a line with {@code ready} first; the workers' process then prints a line for each event
  * of its workers: the time in Unix milliseconds, the event, the worker and its details, separated
  * by tabs. It reads commands for its workers from standard input. The process ends when its
  * standard input closes.
  */
 public final class SoakStandinMain {
 
+    /** The host in the workers' entries; each instance resolves it to relays of its own. */
+    public static final String RELAY_HOST = "relay.test";
+
     private static final String LOOPBACK = "127.0.0.1";
     private static final int DATA_CENTRES = 3;
     private static final int WORKERS_PER_RACK = 8;
@@ -37,9 +40,9 @@
     /**
      * Starts the stand-ins.
      *
-     * @param args {@code store PORT CALLERS STRIDE KEEP_MS}, or {@code workers STORE_PORT FIRST
-     *     COUNT PORT ADVERTISED_PORT CLOCK_OFFSET_MS}, where the ports are those of the worker with
-     *     the index 0
+     * @param args {@code store PORT CALLERS KEEP_MS}, or {@code workers STORE_PORT FIRST COUNT PORT
+     *     RELAY_PORT CLOCK_OFFSET_MS}, where the last two ports are those of the worker with the
+     *     index 0
      * @throws Exception if standard input fails
      */
     public static void main(String[] args) throws Exception {
@@ -62,8 +65,7 @@
         new StoreStandin(vertx)
                 .start(
                         IntStream.range(0, numbers[1]).map(i -> numbers[0] + i).boxed().toList(),
-                        numbers[2],
-                        numbers[3])
+                        numbers[2])
                 .await()
                 .indefinitely();
         System.out.println("ready store=" + numbers[0]);
@@ -81,6 +83,7 @@
                             "dc-" + (i % DATA_CENTRES + 1),
                             "r" + i / WORKERS_PER_RACK,
                             numbers[3] + i,
+                            RELAY_HOST,
                             numbers[4] + i,
                             STOP_MILLIS);
             TaskWorkerStandin worker =
--- a/standin/src/main/java/io/cardamomshelf/standin/platform/StoreStandin.java
+++ b/standin/src/main/java/io/cardamomshelf/standin/platform/StoreStandin.java
@@ -22,7 +22,6 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.function.Consumer;
-import java.util.regex.Pattern;
 
 /**
  * Stands in for the platform's store: topics in memory, served over HTTP, with faults that a test
@@ -36,10 +35,6 @@
  * only. {@code PUT /operator/KEY} writes as an operator; an empty body drops the key. {@code PUT
  * /servers/ID} writes a worker's entry, which is dropped after three missed heartbeats.
  *
- * <p>If it listens on several ports, one for each caller, it adds the port's index times a stride
- * to the ports of the workers' addresses, so that each caller reaches each worker through a relay
- * of its own.
- *
  * <p>Not thread-safe: call it on its event loop only.
  */
 public final class StoreStandin {
@@ -59,7 +54,6 @@
     private static final long EXPIRY_INTERVAL_MILLIS = 250;
     private static final long SILENCE_LIMIT_MILLIS =
             3 * TaskWorkerStandin.HEARTBEAT_INTERVAL_MILLIS;
-    private static final Pattern WORKER_PORT = Pattern.compile("(\"address\":\"[0-9.]+:)(\\d+)");
 
     private final Vertx vertx;
     private final Map<String, Topic> topics = new HashMap<>();
@@ -67,7 +61,6 @@
     private final Map<Integer, Integer> callersByPort = new HashMap<>();
     private final Map<String, Long> heartbeats = new HashMap<>();
     private final Set<HttpConnection> connections = new HashSet<>();
-    private int stride;
 
     /**
      * Creates a store.
@@ -91,12 +84,10 @@
      * Starts listening on one port for each caller and limits the history.
      *
      * @param ports the ports in the order of the callers, not null
-     * @param portStride the distance between the workers' ports of two callers
      * @param keepMillis the age of the oldest readable record, in milliseconds
      * @return completes once all listen
      */
-    public Uni<Void> start(List<Integer> ports, int portStride, long keepMillis) {
-        stride = portStride;
+    public Uni<Void> start(List<Integer> ports, long keepMillis) {
         vertx.setPeriodic(EXPIRY_INTERVAL_MILLIS, timer -> dropSilentWorkers());
         vertx.setPeriodic(
                 EXPIRY_INTERVAL_MILLIS,
@@ -158,20 +149,6 @@
         return faults.getOrDefault(caller(context), "none");
     }
 
-    /** Returns a worker's entry with the port at which the caller reaches it. */
-    private byte[] addressedTo(int caller, byte[] entry) {
-        if (stride == 0 || entry.length == 0) {
-            return entry;
-        }
-        return WORKER_PORT
-                .matcher(new String(entry, StandardCharsets.UTF_8))
-                .replaceFirst(
-                        match ->
-                                match.group(1)
-                                        + (Integer.parseInt(match.group(2)) + caller * stride))
-                .getBytes(StandardCharsets.UTF_8);
-    }
-
     /** Writes a worker's entry; faults don't affect it. */
     void registerWorker(String id, JsonObject entry) {
         topic(WORKERS).append(id, entry.encode().getBytes(StandardCharsets.UTF_8));
@@ -314,9 +291,8 @@
         Buffer body = Buffer.buffer().appendLong(topic.endOffset()).appendLong(topic.firstOffset());
         for (Entry entry : topic.entriesFrom(from)) {
             byte[] key = entry.key().getBytes(StandardCharsets.UTF_8);
-            byte[] value = valueFor(context, topic, entry);
-            body.appendInt(1 + key.length + value.length);
-            body.appendByte((byte) key.length).appendBytes(key).appendBytes(value);
+            body.appendInt(1 + key.length + entry.value().length);
+            body.appendByte((byte) key.length).appendBytes(key).appendBytes(entry.value());
         }
         if (!fault(context).equals("silent") && !context.response().closed()) {
             context.response().endAndForget(body);
@@ -330,10 +306,7 @@
             items.add(
                     new JsonObject()
                             .put("key", entry.key())
-                            .put(
-                                    "value",
-                                    Base64.getEncoder()
-                                            .encodeToString(valueFor(context, topic, entry)))
+                            .put("value", Base64.getEncoder().encodeToString(entry.value()))
                             .put("offset", entry.offset()));
         }
         answer(
@@ -345,12 +318,6 @@
                         .put("end", topic.endOffset()));
     }
 
-    private byte[] valueFor(RoutingContext context, Topic topic, Entry entry) {
-        return topic == topic(WORKERS)
-                ? addressedTo(caller(context), entry.value())
-                : entry.value();
-    }
-
     static void answer(RoutingContext context, int status, JsonObject body) {
         context.response()
                 .setStatusCode(status)
--- a/standin/src/main/java/io/cardamomshelf/standin/platform/TaskWorkerStandin.java
+++ b/standin/src/main/java/io/cardamomshelf/standin/platform/TaskWorkerStandin.java
@@ -49,6 +49,7 @@
      * What a worker says of itself, and how it behaves.
      *
      * @param port the port to listen on, 0 for a free one
+     * @param advertisedHost the host in its registry entry
      * @param advertisedPort the port in its registry entry, 0 for the one it listens on
      * @param stopMillis how long a stop takes, in milliseconds
      */
@@ -57,12 +58,13 @@
             String dataCentre,
             String rack,
             int port,
+            String advertisedHost,
             int advertisedPort,
             long stopMillis) {
 
         /** Creates the profile of a worker on a free port, whose stops take no time. */
         static Profile of(String id, String dataCentre, String rack) {
-            return new Profile(id, dataCentre, rack, 0, 0, 0);
+            return new Profile(id, dataCentre, rack, 0, LOOPBACK, 0, 0);
         }
     }
 
@@ -194,7 +196,7 @@
                 id,
                 new JsonObject()
                         .put("service", "rota")
-                        .put("address", LOOPBACK + ":" + port)
+                        .put("address", profile.advertisedHost() + ":" + port)
                         .put("zone", profile.dataCentre())
                         .put("version", "v1")
                         .put("slots", ACCELERATORS)
