--- a/sessions/src/main/java/io/cardamomshelf/sessions/SoakDeployment.java
+++ b/sessions/src/main/java/io/cardamomshelf/sessions/SoakDeployment.java
@@ -61,6 +61,7 @@
     private final int workers;
     private final SoakHistory history;
     private final Http http = new Http();
+    private final SoakGangs gangs;
     private final ServerSocket range;
     private final Vertx vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1));
     private final SoakRelay[][] relays;
@@ -72,6 +73,7 @@
         this.folder = folder;
         this.workers = workers;
         this.history = history;
+        gangs = new SoakGangs(history, this::command);
         range = holdRange();
         relays = new SoakRelay[INSTANCES][workers];
         groups = new ChildProcess[(workers + GROUP_SIZE - 1) / GROUP_SIZE];
@@ -212,7 +214,7 @@
             groups[group] =
                     ChildProcess.startReporting(
                             folder.resolve("workers-" + group + ".err"),
-                            line -> history.add(SoakEvent.parse(line)),
+                            this::takeLine,
                             SoakStandinMain.class,
                             texts(
                                     "workers",
@@ -225,6 +227,12 @@
         }
     }
 
+    private void takeLine(String line) {
+        SoakEvent event = SoakEvent.parse(line);
+        history.add(event);
+        gangs.take(event);
+    }
+
     /** Returns a process of workers. */
     ChildProcess group(int group) {
         synchronized (groups) {
@@ -242,9 +250,10 @@
     }
 
     /** Sends a command for a worker to its process. */
-    void command(int worker, String verb, Object... arguments) throws SessionException {
+    void command(String worker, String verb, Object... arguments) throws SessionException {
+        int index = Integer.parseInt(worker.substring(worker.indexOf('-') + 1));
         String rest = String.join(" ", texts(arguments));
-        group(worker / GROUP_SIZE).send((verb + " " + workerName(worker) + " " + rest).strip());
+        group(index / GROUP_SIZE).send((verb + " " + worker + " " + rest).strip());
     }
 
     /** Sets the store's fault for one instance. */
--- a/sessions/src/main/java/io/cardamomshelf/sessions/SoakHistory.java
+++ b/sessions/src/main/java/io/cardamomshelf/sessions/SoakHistory.java
@@ -43,6 +43,11 @@
         }
     }
 
+    /** Returns a job by its identifier, null if there is none. */
+    synchronized SoakJob job(String id) {
+        return jobs.get(id);
+    }
+
     synchronized Map<String, SoakJob> jobs() {
         return Map.copyOf(jobs);
     }
--- a/sessions/src/main/java/io/cardamomshelf/sessions/SoakInjector.java
+++ b/sessions/src/main/java/io/cardamomshelf/sessions/SoakInjector.java
@@ -163,12 +163,14 @@
     private void workerCommand(
             int worker, String verb, String undo, long length, Object... arguments) {
         List<Runnable> calm = disruptWorkers(Set.of(worker));
-        attempt(verb, () -> deployment.command(worker, verb, arguments));
+        attempt(verb, () -> deployment.command(SoakDeployment.workerName(worker), verb, arguments));
         after(
                 length,
                 () -> {
                     if (!undo.isEmpty()) {
-                        attempt(undo, () -> deployment.command(worker, undo));
+                        attempt(
+                                undo,
+                                () -> deployment.command(SoakDeployment.workerName(worker), undo));
                     }
                     calm.forEach(Runnable::run);
                 });
@@ -249,8 +251,8 @@
             deployment.startInstance(i);
         }
         for (int worker = 0; worker < deployment.workers(); worker++) {
-            deployment.command(worker, "healthy");
-            deployment.command(worker, "resume");
+            deployment.command(SoakDeployment.workerName(worker), "healthy");
+            deployment.command(SoakDeployment.workerName(worker), "resume");
         }
     }
 
--- a/sessions/src/main/java/io/cardamomshelf/sessions/SoakJob.java
+++ b/sessions/src/main/java/io/cardamomshelf/sessions/SoakJob.java
@@ -29,7 +29,12 @@
 
     /** Returns the text that workers get with each start. */
     String spec() {
-        return "ms=" + runMillis + " job=" + id + (isFailing ? " fail" : "");
+        return "ms="
+                + runMillis
+                + " job="
+                + id
+                + (isGang ? " gang" : "")
+                + (isFailing ? " fail" : "");
     }
 
     /** Returns the path of the job at the instances. */
--- a/sessions/src/main/java/io/cardamomshelf/sessions/SoakJudge.java
+++ b/sessions/src/main/java/io/cardamomshelf/sessions/SoakJudge.java
@@ -279,6 +279,9 @@
     private void end(Ended end) {
         Worker worker = worker(end.worker());
         worker.runs.remove(end.task());
+        if (end.outcome().equals("alone")) {
+            checkAlone(end);
+        }
         if (end.outcome().equals("done")) {
             Done done = new Done(end);
             worker.dones.add(done);
@@ -286,6 +289,16 @@
         }
     }
 
+    private void checkAlone(Ended end) {
+        String job = end.task().substring(0, end.task().indexOf('.'));
+        long from = end.at() - GANG_TIMEOUT_MILLIS - CONTACT_MILLIS;
+        boolean isQuiet =
+                disruptions.stream().noneMatch(d -> d.at() <= end.at() && d.until() >= from);
+        if (isQuiet && cancelSent.getOrDefault(job, Long.MAX_VALUE) > end.at()) {
+            report("GANG", end.at(), "its other members never came: " + end);
+        }
+    }
+
     private void acknowledge(Acknowledged acknowledged) {
         Worker worker = worker(acknowledged.worker());
         worker.lapseBefore(acknowledged.at());
--- a/standin/src/main/java/io/cardamomshelf/standin/platform/SoakStandinMain.java
+++ b/standin/src/main/java/io/cardamomshelf/standin/platform/SoakStandinMain.java
@@ -103,6 +103,8 @@
                 case "restart" -> worker.restart(Long.parseLong(words[2]));
                 case "pause" -> worker.setPaused(true);
                 case "resume" -> worker.setPaused(false);
+                case "assemble" -> worker.assemble(words[2], Long.parseLong(words[3]));
+                case "break" -> worker.breakUp(words[2], Long.parseLong(words[3]));
                 case "unhealthy" -> worker.setUnhealthy(true);
                 case "healthy" -> worker.setUnhealthy(false);
                 default -> throw new IllegalArgumentException("unknown command: " + line);
--- a/standin/src/main/java/io/cardamomshelf/standin/platform/TaskWorkerStandin.java
+++ b/standin/src/main/java/io/cardamomshelf/standin/platform/TaskWorkerStandin.java
@@ -23,8 +23,9 @@
  * ends, and refuses calls with an old fencing token.
  *
  * <p>Use: the spec {@code ms=N} is a task's run time in milliseconds; with {@code ms=N fail} the
- * run ends as failed. The worker renews its registry entry by itself. It can be restarted under its
- * identifier, paused, and made unhealthy.
+ * run ends as failed. With {@code gang} the run time begins once {@code assemble} is called; until
+ * then the run waits, and it ends as alone if that takes too long. The worker renews its registry
+ * entry by itself. It can be restarted under its identifier, paused, and made unhealthy.
  *
  * <p>Not thread-safe: call it on its event loop only.
  */
@@ -41,6 +42,7 @@
 
     private static final long CHECK_INTERVAL_MILLIS = 20;
     private static final long MAX_LEASE_MILLIS = 10_000;
+    private static final long GANG_TIMEOUT_MILLIS = 3_000;
     private static final int CPU_MILLIS = 128_000;
     private static final int MEMORY_MB = 512_000;
     private static final int ACCELERATORS = 8;
@@ -71,6 +73,8 @@
     private static final class Run {
         private long number;
         private long endsMillis;
+        private long workMillis;
+        private String finalOutcome;
         private String outcome;
     }
 
@@ -282,13 +286,32 @@
     private void beginRun(Start start) {
         Run run = new Run();
         run.number = start.run();
-        run.outcome = start.spec().endsWith("fail") ? "failed" : "done";
-        String millis = start.spec().replaceAll("^ms=(\\d+).*$", "$1");
-        run.endsMillis = clock() + Long.parseLong(millis);
+        run.workMillis = Long.parseLong(start.spec().replaceAll("^ms=(\\d+).*$", "$1"));
+        run.finalOutcome = start.spec().endsWith("fail") ? "failed" : "done";
+        boolean isWaiting = start.spec().contains(" gang");
+        run.outcome = isWaiting ? "alone" : run.finalOutcome;
+        run.endsMillis = clock() + (isWaiting ? GANG_TIMEOUT_MILLIS : run.workMillis);
         running.put(start.task(), run);
         listener.began(id, start);
     }
 
+    /** Begins the work of a gang's member, all members of which are present. */
+    void assemble(String task, long runNumber) {
+        Run run = running.get(task);
+        if (run != null && run.number == runNumber && run.outcome.equals("alone")) {
+            run.outcome = run.finalOutcome;
+            run.endsMillis = clock() + run.workMillis;
+        }
+    }
+
+    /** Ends a gang's member because another one has ended. */
+    void breakUp(String task, long runNumber) {
+        Run run = running.get(task);
+        if (run != null && run.number == runNumber) {
+            endRun(task, "broken");
+        }
+    }
+
     private void stop(RoutingContext context, JsonObject body) {
         String task = body.getString("task");
         highestRuns.merge(task, body.getLong("run"), Math::max);
