--- a/sessions/src/main/java/io/cardamomshelf/sessions/Soak.java
+++ b/sessions/src/main/java/io/cardamomshelf/sessions/Soak.java
@@ -23,8 +23,9 @@
      * @param seed decides the jobs and the troubles
      * @param seconds how long troubles go on
      * @param workers the number of workers
+     * @param isTimed whether rules with a bound in time are checked
      */
-    record Plan(long seed, int seconds, int workers) {}
+    record Plan(long seed, int seconds, int workers, boolean isTimed) {}
 
     /** The outcome of a run. */
     record Result(List<SoakJudge.Violation> violations, String counts) {}
@@ -32,10 +33,15 @@
     private static final long LEAD_MILLIS = 5_000;
     private static final long TAIL_MILLIS = 2_000;
     private static final long CHECK_INTERVAL_MILLIS = 2_000;
+    private static final long STALL_CHECK_MILLIS = 50;
+    private static final long MAX_STALL_MILLIS = 1_000;
 
     /** How long after all troubles every accepted job must have ended. */
     private static final long END_BOUND_MILLIS = 45_000;
 
+    /** The same for a run whose verdict has no bound in time: only a standstill reaches it. */
+    private static final long STANDSTILL_MILLIS = 600_000;
+
     /** How far a check of a run lags behind, so that all processes' events have arrived. */
     private static final long EVENT_LAG_MILLIS = 2_000;
 
@@ -60,9 +66,12 @@
 
     /** Runs it; throws an exception if it can't run. */
     Result run() throws SessionException {
+        Thread stalls = new Thread(this::watchForStalls);
+        stalls.setDaemon(true);
         try (SoakDeployment deployment = SoakDeployment.start(folder, plan.workers(), history);
                 SoakClients clients = new SoakClients(deployment, history, plan.seed());
                 SoakInjector injector = new SoakInjector(deployment, history, this::log)) {
+            stalls.start();
             clients.start();
             check(LEAD_MILLIS);
             long spanMillis = plan.seconds() * 1_000L;
@@ -74,12 +83,32 @@
             clients.stopSubmitting();
             log("all troubles have ended");
             awaitEnds();
-            SoakJudge judge = new SoakJudge(history.jobs());
+            SoakJudge judge = new SoakJudge(history.jobs(), plan.isTimed());
             Result result = new Result(judge.judge(history.events(), true), judge.counts());
             history.writeTo(folder.resolve("events.txt"));
             result.violations().forEach(violation -> log(violation.toString()));
             log(result.counts());
             return result;
+        } finally {
+            stalls.interrupt();
+        }
+    }
+
+    /** Notes when this process stands still: no bound in time can be judged by its clock then. */
+    private void watchForStalls() {
+        long last = System.currentTimeMillis();
+        while (!Thread.currentThread().isInterrupted()) {
+            try {
+                Thread.sleep(STALL_CHECK_MILLIS);
+            } catch (InterruptedException e) {
+                return;
+            }
+            long now = System.currentTimeMillis();
+            if (now - last > MAX_STALL_MILLIS) {
+                log("this process stood still for " + (now - last) + " ms");
+                history.add(new SoakEvent.Disruption(last, now, "store"));
+            }
+            last = now;
         }
     }
 
@@ -96,7 +125,8 @@
         long until = System.currentTimeMillis() - EVENT_LAG_MILLIS;
         List<SoakEvent> events =
                 history.events().stream().filter(event -> event.at() <= until).toList();
-        for (SoakJudge.Violation violation : new SoakJudge(history.jobs()).judge(events, false)) {
+        for (SoakJudge.Violation violation :
+                new SoakJudge(history.jobs(), plan.isTimed()).judge(events, false)) {
             if (reported.add(violation.toString())) {
                 log("seen: " + violation);
             }
@@ -104,14 +134,16 @@
     }
 
     private void awaitEnds() throws SessionException {
-        long deadline = System.currentTimeMillis() + END_BOUND_MILLIS;
+        long deadline =
+                System.currentTimeMillis()
+                        + (plan.isTimed() ? END_BOUND_MILLIS : STANDSTILL_MILLIS);
         while (System.currentTimeMillis() < deadline && !isAllEnded()) {
             pause(CHECK_INTERVAL_MILLIS);
         }
     }
 
     private boolean isAllEnded() {
-        return new SoakJudge(history.jobs())
+        return new SoakJudge(history.jobs(), plan.isTimed())
                 .judge(history.events(), true).stream()
                         .noneMatch(violation -> violation.rule().equals("LOST"));
     }
--- a/sessions/src/main/java/io/cardamomshelf/sessions/SoakDeployment.java
+++ b/sessions/src/main/java/io/cardamomshelf/sessions/SoakDeployment.java
@@ -12,6 +12,7 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
+import java.util.concurrent.atomic.AtomicReferenceArray;
 import java.util.function.IntPredicate;
 import java.util.stream.IntStream;
 
@@ -66,17 +67,20 @@
     private final Vertx vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1));
     private final SoakRelay[][] relays;
     private final ChildProcess[] instances = new ChildProcess[INSTANCES];
-    private final ChildProcess[] groups;
+    private final AtomicReferenceArray<ChildProcess> groups;
+    private final List<Object> groupLocks;
     private ChildProcess store;
+    private volatile boolean isClosed;
 
     private SoakDeployment(Path folder, int workers, SoakHistory history) throws SessionException {
         this.folder = folder;
         this.workers = workers;
         this.history = history;
+        groups = new AtomicReferenceArray<>((workers + GROUP_SIZE - 1) / GROUP_SIZE);
+        groupLocks = IntStream.range(0, groups()).mapToObj(i -> new Object()).toList();
         gangs = new SoakGangs(history, this::command);
         range = holdRange();
         relays = new SoakRelay[INSTANCES][workers];
-        groups = new ChildProcess[(workers + GROUP_SIZE - 1) / GROUP_SIZE];
         Runtime.getRuntime().addShutdownHook(new Thread(this::killAll));
     }
 
@@ -109,7 +113,7 @@
                 relays[caller][worker].listen(sourceAddress(caller), target + workers);
             }
         }
-        for (int group = 0; group < groups.length; group++) {
+        for (int group = 0; group < groups.length(); group++) {
             startGroup(group, 0);
         }
         for (int i = 0; i < INSTANCES; i++) {
@@ -145,7 +149,7 @@
     }
 
     int groups() {
-        return groups.length;
+        return groups.length();
     }
 
     /** Returns the workers that share a process. */
@@ -165,7 +169,7 @@
     /** Starts an instance unless it is alive. */
     void startInstance(int instance) throws SessionException {
         synchronized (instances) {
-            if (instances[instance] != null && instances[instance].isAlive()) {
+            if (isClosed || instances[instance] != null && instances[instance].isAlive()) {
                 return;
             }
             String name = instanceName(instance);
@@ -206,12 +210,11 @@
 
     /** Starts a process of workers unless it is alive. */
     void startGroup(int group, long clockOffsetMillis) throws SessionException {
-        synchronized (groups) {
-            if (groups[group] != null && groups[group].isAlive()) {
+        synchronized (groupLocks.get(group)) {
+            if (isClosed || groups.get(group) != null && groups.get(group).isAlive()) {
                 return;
             }
-            long count = workersOf(group).count();
-            groups[group] =
+            ChildProcess process =
                     ChildProcess.startReporting(
                             folder.resolve("workers-" + group + ".err"),
                             this::takeLine,
@@ -220,10 +223,14 @@
                                     "workers",
                                     port(STORE_OFFSET),
                                     group * GROUP_SIZE,
-                                    count,
+                                    workersOf(group).count(),
                                     port(WORKER_OFFSET),
                                     port(WORKER_OFFSET) + workers,
                                     clockOffsetMillis));
+            groups.set(group, process);
+            if (isClosed) {
+                process.kill();
+            }
         }
     }
 
@@ -235,9 +242,7 @@
 
     /** Returns a process of workers. */
     ChildProcess group(int group) {
-        synchronized (groups) {
-            return groups[group];
-        }
+        return groups.get(group);
     }
 
     /** Kills a process of workers and returns when it has ended. */
@@ -276,8 +281,13 @@
     }
 
     private void killAll() {
-        List<ChildProcess> all = new ArrayList<>(Arrays.asList(instances));
-        all.addAll(Arrays.asList(groups));
+        isClosed = true;
+        List<ChildProcess> all;
+        // No instance is started any more once the lock is held.
+        synchronized (instances) {
+            all = new ArrayList<>(Arrays.asList(instances));
+        }
+        IntStream.range(0, groups()).mapToObj(groups::get).forEach(all::add);
         all.add(store);
         all.stream().filter(process -> process != null).forEach(ChildProcess::kill);
     }
--- a/sessions/src/main/java/io/cardamomshelf/sessions/SoakInjector.java
+++ b/sessions/src/main/java/io/cardamomshelf/sessions/SoakInjector.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Set;
 import java.util.TreeSet;
+import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
@@ -18,7 +19,6 @@
  */
 final class SoakInjector implements AutoCloseable {
 
-    private static final int THREADS = 16;
     private static final long GRACE_SECONDS = 6;
 
     /** A step that may fail because another trouble has ended the process meanwhile. */
@@ -29,7 +29,10 @@
     private final SoakDeployment deployment;
     private final SoakHistory history;
     private final Consumer<String> log;
-    private final ScheduledExecutorService pool = Executors.newScheduledThreadPool(THREADS);
+    private final ScheduledExecutorService timer = Executors.newSingleThreadScheduledExecutor();
+
+    /** Has a thread for each step, as steps wait for processes. */
+    private final ExecutorService pool = Executors.newCachedThreadPool();
 
     SoakInjector(SoakDeployment deployment, SoakHistory history, Consumer<String> log) {
         this.deployment = deployment;
@@ -41,10 +44,9 @@
     void start(List<SoakTrouble> troubles) {
         troubles.forEach(
                 trouble ->
-                        pool.schedule(
-                                () -> attempt(trouble.toString(), () -> begin(trouble)),
+                        after(
                                 trouble.atMillis(),
-                                TimeUnit.MILLISECONDS));
+                                () -> attempt(trouble.toString(), () -> begin(trouble))));
     }
 
     private void attempt(String name, Step step) {
@@ -99,8 +101,9 @@
 
     private void kill(int instance, long length) {
         Runnable calm = history.disrupt(SoakDeployment.instanceName(instance));
-        deployment.instance(instance).kill();
-        after(length, () -> restart(instance, calm));
+        ChildProcess process = deployment.instance(instance);
+        process.kill();
+        after(length, () -> restart(instance, process, calm));
     }
 
     private void terminate(int instance, long length) {
@@ -111,15 +114,15 @@
                 TimeUnit.SECONDS.toMillis(GRACE_SECONDS),
                 () -> {
                     process.kill();
-                    after(length, () -> restart(instance, calm));
+                    after(length, () -> restart(instance, process, calm));
                 });
     }
 
-    private void restart(int instance, Runnable calm) {
+    private void restart(int instance, ChildProcess killed, Runnable calm) {
         attempt(
                 "restart of " + instance,
                 () -> {
-                    deployment.instance(instance).awaitEnd();
+                    killed.awaitEnd();
                     deployment.startInstance(instance);
                     Wait.until(
                             "instance " + instance + " is ready or has ended",
@@ -235,7 +238,9 @@
     }
 
     private void after(long millis, Runnable step) {
-        pool.schedule(step, millis, TimeUnit.MILLISECONDS);
+        if (!timer.isShutdown()) {
+            timer.schedule(() -> pool.execute(step), millis, TimeUnit.MILLISECONDS);
+        }
     }
 
     /** Ends what may be left of all troubles, as overlapping ones may leave something behind. */
@@ -268,6 +273,7 @@
 
     @Override
     public void close() {
+        timer.shutdownNow();
         pool.shutdownNow();
     }
 }
--- a/sessions/src/main/java/io/cardamomshelf/sessions/SoakJudge.java
+++ b/sessions/src/main/java/io/cardamomshelf/sessions/SoakJudge.java
@@ -21,7 +21,7 @@
  * Checks a soak's history against the rules.
  *
  * <p>Goes by what clients and workers have seen, never by the logs of the instances. Use: {@code
- * new SoakJudge(jobs).judge(events, isOver)}. Not thread-safe; use it once.
+ * new SoakJudge(jobs, true).judge(events, isOver)}. Not thread-safe; use it once.
  */
 final class SoakJudge {
 
@@ -88,6 +88,7 @@
     }
 
     private final Map<String, SoakJob> jobs;
+    private final boolean isTimed;
     private final Map<String, Worker> workers = new HashMap<>();
     private final Map<String, List<Done>> donesByTask = new HashMap<>();
     private final Map<Long, String> callersByToken = new HashMap<>();
@@ -107,9 +108,11 @@
      * Creates a judge.
      *
      * @param jobs all jobs that clients have sent or are about to send, by identifier, not null
+     * @param isTimed whether rules with a bound in time are checked
      */
-    SoakJudge(Map<String, SoakJob> jobs) {
+    SoakJudge(Map<String, SoakJob> jobs, boolean isTimed) {
         this.jobs = Map.copyOf(jobs);
+        this.isTimed = isTimed;
     }
 
     private static int rank(SoakEvent event) {
@@ -293,7 +296,9 @@
         String job = end.task().substring(0, end.task().indexOf('.'));
         long from = end.at() - GANG_TIMEOUT_MILLIS - CONTACT_MILLIS;
         boolean isQuiet =
-                disruptions.stream().noneMatch(d -> d.at() <= end.at() && d.until() >= from);
+                isTimed
+                        && disruptions.stream()
+                                .noneMatch(d -> d.at() <= end.at() && d.until() >= from);
         if (isQuiet && cancelSent.getOrDefault(job, Long.MAX_VALUE) > end.at()) {
             report("GANG", end.at(), "its other members never came: " + end);
         }
@@ -363,9 +368,10 @@
 
     /** Checks that neither a target nor the store was disrupted in a span or shortly before it. */
     private boolean isCalm(String target, long from, long until) {
-        return disruptions.stream()
-                .filter(d -> d.target().equals(target) || d.target().equals("store"))
-                .noneMatch(d -> d.at() <= until && d.until() >= from - CONTACT_MILLIS);
+        return isTimed
+                && disruptions.stream()
+                        .filter(d -> d.target().equals(target) || d.target().equals("store"))
+                        .noneMatch(d -> d.at() <= until && d.until() >= from - CONTACT_MILLIS);
     }
 
     private void report(String rule, long at, String text) {
--- a/sessions/src/main/java/io/cardamomshelf/sessions/SoakMain.java
+++ b/sessions/src/main/java/io/cardamomshelf/sessions/SoakMain.java
@@ -68,7 +68,8 @@
         int worst = HELD;
         for (int i = 0; i < options.valueOf(runs); i++) {
             Soak.Plan plan =
-                    new Soak.Plan(first + i, options.valueOf(seconds), options.valueOf(workers));
+                    new Soak.Plan(
+                            first + i, options.valueOf(seconds), options.valueOf(workers), true);
             worst = Math.max(worst, run(plan, options.has("keep"), out));
         }
         return worst;
--- a/sessions/src/main/java/io/cardamomshelf/sessions/SoakRelay.java
+++ b/sessions/src/main/java/io/cardamomshelf/sessions/SoakRelay.java
@@ -47,6 +47,8 @@
             this.isRequest = isRequest;
             from.handler(this::take);
             from.closeHandler(none -> to.close());
+            // A reset is followed by the close.
+            from.exceptionHandler(failure -> held = Buffer.buffer());
         }
 
         private void take(Buffer bytes) {
