--- a/node/src/main/java/io/cardamomshelf/node/event/NodeEvent.java
+++ b/node/src/main/java/io/cardamomshelf/node/event/NodeEvent.java
@@ -46,8 +46,11 @@
     APPEND_FAILED(2104, "An append was refused or got no answer; the line gives the outcome."),
     /** This process was elected. */
     LEADERSHIP_WON(3001, "This process is the scheduler."),
-    /** Another process won an election that this process ran in. */
-    LEADERSHIP_MISSED(3002, "This process ran for election as scheduler and another one won."),
+    /** This process ran for election and wasn't elected. */
+    LEADERSHIP_MISSED(
+            3002,
+            "This process ran for election as scheduler and wasn't elected; the line gives the"
+                    + " store's answer, or the leader record that was read instead of its own."),
     /** This process was deposed. */
     LEADERSHIP_LOST(3003, "This process was deposed as scheduler."),
     /** This process transfers leadership. */
--- a/node/src/main/java/io/cardamomshelf/node/schedule/SchedulerCandidate.java
+++ b/node/src/main/java/io/cardamomshelf/node/schedule/SchedulerCandidate.java
@@ -285,7 +285,7 @@
             return;
         }
         if (jobs.leader().filter(candidacy::hasWritten).isEmpty()) {
-            electionMissed(jobs.leader());
+            electionMissed(jobs.leader().map(JobRecords.Leader::toString).orElse("no record"));
             return;
         }
         metrics.count(Name.ELECTIONS, "won");
