--- a/node/src/test/java/io/cardamomshelf/node/schedule/TakeoverViewTest.java
+++ b/node/src/test/java/io/cardamomshelf/node/schedule/TakeoverViewTest.java
@@ -16,6 +16,8 @@
 import java.util.List;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 
 /** Tests schedulers whose views of the jobs or the workers were loaded again, or differ. */
 class TakeoverViewTest extends SchedulingFixture {
@@ -29,8 +31,9 @@
         private static final long CLEANUP_MILLIS = 6_000;
 
         /** Guards against a second run of tasks whose jobs have ended. */
-        @Test
-        void duringATermDoNotRunAgain() {
+        @ParameterizedTest
+        @CsvSource({"UNRESPONSIVE, 3000, 3000", "REFUSING, 1000, 2000"})
+        void duringATermDoNotRunAgain(Fault outage, long outageMillis, long recoveryMillis) {
             storeConfigurationAndWorkers("w1");
             Process one = new Process("one");
             time.advance(4_000);
@@ -39,16 +42,17 @@
             workers.finish("w1", TASK, RunEnd.DONE);
             time.advance(CLEANUP_MILLIS);
             assertEquals(JobState.COMPLETED, one.state());
-            store.fault = Fault.UNRESPONSIVE;
-            time.advance(3_000);
+            store.fault = outage;
+            time.advance(outageMillis);
             submit(SECOND, 1, false);
             store.dropHistory(Stream.JOBS);
             store.fault = Fault.NONE;
-            time.advance(3_000);
+            time.advance(recoveryMillis);
             assertTrue(one.candidate.isLeading());
             assertEquals(JobState.COMPLETED, one.state());
             assertEquals(2, workers.starts.size());
             assertEquals(SECOND, workers.starts.get(1).task().job());
+            assertTrue(workers.isRunning(workers.starts.get(1).task()));
         }
     }
 
