--- a/sessions/src/main/java/io/cardamomshelf/sessions/SoakJob.java
+++ b/sessions/src/main/java/io/cardamomshelf/sessions/SoakJob.java
@@ -1,5 +1,7 @@
 package io.cardamomshelf.sessions;
 
+import io.cardamomshelf.standin.platform.TaskJobBody;
+
 /**
  * A job that the soak's clients submit.
  *
@@ -44,16 +46,13 @@
 
     /** Returns the body of its submission. */
     String body() {
-        return """
-                {"spec":"%s","phases":[{"count":%d,"cpu":%d,"mem_mb":%d,"gpus":%d,\
-                "est_runtime_ms":%d%s}]}"""
-                .formatted(
-                        spec(),
-                        count,
-                        cpuMillis,
-                        MEMORY_MB,
-                        accelerators,
-                        runMillis + ESTIMATE_MARGIN_MILLIS,
-                        isGang ? ",\"gang\":true" : "");
+        return TaskJobBody.of(
+                spec(),
+                count,
+                cpuMillis,
+                MEMORY_MB,
+                accelerators,
+                runMillis + ESTIMATE_MARGIN_MILLIS,
+                isGang);
     }
 }
