Publish a job's acceptance before anything that follows from it

Cause: JOB_ACCEPTED was published on the log's answer to the append. The log wakes its readers first, so the record may be read, and the job considered, before that answer arrives.

Evidence: JobEventsTest, with a log that appends and answers 1.5 s later, failed with [JOB_WAITING, JOB_ACCEPTED] and passes now.

Why it works: JobLog knows the request of each append, and publishes the event when the answer or the record comes, whichever is first, and once. Ruled out: a scrubber or a sort in the golden file, as the order was wrong for operators too.

--- a/entry/src/main/java/io/cardamomshelf/entry/JobLog.java
+++ b/entry/src/main/java/io/cardamomshelf/entry/JobLog.java
@@ -4,11 +4,14 @@
 import io.cardamomshelf.client.Json;
 import io.cardamomshelf.client.LogClient;
 import io.cardamomshelf.client.LogPage;
+import io.cardamomshelf.core.base.JobId;
 import io.cardamomshelf.core.event.EventType;
 import io.cardamomshelf.core.job.JobRecord;
 import io.cardamomshelf.core.job.JobTable;
 import io.smallrye.mutiny.Uni;
 import io.vertx.mutiny.core.Vertx;
+import java.util.HashMap;
+import java.util.Map;
 
 /**
  * Follows the stream of jobs in the log, folds its records into the job table, and appends records.
@@ -25,6 +28,9 @@
     private final Events events;
     private final LogStreamFollower follower;
 
+    /** The requests whose jobs aren't known to be accepted yet, by job. */
+    private final Map<JobId, String> submissions = new HashMap<>();
+
     JobLog(Vertx vertx, LogClient log, JobTable table, Events events) {
         this.log = log;
         this.table = table;
@@ -45,6 +51,25 @@
         return log.append(LogClient.JOBS, Json.write(record));
     }
 
+    /**
+     * Appends the acceptance of a job. The event of it is published when the record is first known
+     * to be stored: by the log's answer, or by reading it, which may come before the answer.
+     */
+    Uni<Long> appendAccepted(String requestId, JobRecord.Accepted record) {
+        submissions.put(record.job(), requestId);
+        return append(record)
+                .invoke(offset -> publishAcceptance(record.job()))
+                .onTermination()
+                .invoke(() -> submissions.remove(record.job()));
+    }
+
+    private void publishAcceptance(JobId job) {
+        String requestId = submissions.remove(job);
+        if (requestId != null) {
+            events.publish(EventType.JOB_ACCEPTED, job.value(), requestId, "");
+        }
+    }
+
     /**
      * Returns whether the job table is recent enough to place a job that changed at the given time.
      * Records that aren't read yet may have ended the job or changed its owner; while the log is
@@ -61,7 +86,11 @@
     private void apply(LogPage page) {
         for (LogPage.LogRecord record : page.records()) {
             try {
-                table.fold(record.offset(), Json.read(record.body(), JobRecord.class));
+                JobRecord content = Json.read(record.body(), JobRecord.class);
+                if (content instanceof JobRecord.Accepted accepted) {
+                    publishAcceptance(accepted.job());
+                }
+                table.fold(record.offset(), content);
             } catch (FormatException e) {
                 table.skip(record.offset());
                 events.publish(EventType.RECORD_SKIPPED, "jobs", "offset " + record.offset());
--- a/entry/src/main/java/io/cardamomshelf/entry/JobService.java
+++ b/entry/src/main/java/io/cardamomshelf/entry/JobService.java
@@ -77,8 +77,8 @@
                             new SubmitResult(
                                     Verdict.NOT_RUN, Reason.NEVER_FITS, id, refusalReason.get()));
         }
-        return log.append(new JobRecord.Accepted(id, spec, identity.runId()))
-                .map(offset -> accepted(requestId, id))
+        return log.appendAccepted(requestId, new JobRecord.Accepted(id, spec, identity.runId()))
+                .map(offset -> new SubmitResult(Verdict.NOT_RUN, Reason.OK, id, ""))
                 .onFailure()
                 .recoverWithItem(failure -> refused(requestId, id, failure));
     }
@@ -106,11 +106,6 @@
                 runner.waitReason(job.id()));
     }
 
-    private SubmitResult accepted(String requestId, JobId id) {
-        events.publish(EventType.JOB_ACCEPTED, id.value(), requestId, "");
-        return new SubmitResult(Verdict.NOT_RUN, Reason.OK, id, "");
-    }
-
     private SubmitResult refused(String requestId, JobId id, Throwable failure) {
         Verdict verdict = PlatformException.verdictOf(failure);
         String detail = verdict == Verdict.NOT_RUN ? "" : "job " + id + " may have been accepted";
--- a/standin/src/main/java/io/cardamomshelf/standin/LogStandin.java
+++ b/standin/src/main/java/io/cardamomshelf/standin/LogStandin.java
@@ -35,7 +35,9 @@
         /** It answers after a pause. */
         SLOW,
         /** It appends, then closes the connection without an answer. */
-        LOSE_ANSWERS
+        LOSE_ANSWERS,
+        /** It appends, and answers after a pause. */
+        LATE_ANSWERS
     }
 
     private static final long MAX_WAIT_MILLIS = 30_000;
@@ -99,7 +101,7 @@
      * Switches the behaviour.
      *
      * @param newMode the behaviour, not null
-     * @param millis the pause of a slow log, in milliseconds
+     * @param millis the pause of a slow or late log, in milliseconds
      */
     public synchronized void setMode(Mode newMode, long millis) {
         currentMode = newMode;
@@ -141,10 +143,13 @@
         List<Waiter> due = List.copyOf(stream.waiters);
         stream.waiters.clear();
         due.forEach(waiter -> waiter.respond().run());
-        if (currentMode == Mode.LOSE_ANSWERS) {
-            context.request().connection().closeAndForget();
-        } else {
-            reply(context, OK, new Appended(offset));
+        switch (currentMode) {
+            case LOSE_ANSWERS -> context.request().connection().closeAndForget();
+            case LATE_ANSWERS ->
+                    vertx().setTimer(
+                                    Math.max(1, slowMillis),
+                                    id -> reply(context, OK, new Appended(offset)));
+            default -> reply(context, OK, new Appended(offset));
         }
     }
 
