--- a/review/lab2/Case.java
+++ b/review/lab2/Case.java
@@ -23,6 +23,7 @@
         try (Journal journal = new Journal(Path.of(args[2], "record.txt"))) {
             Steps steps =
                     switch (args[0]) {
+                        case "cancel" -> new CancelAfterAcceptance();
                         case "foreign" -> new ForeignServer();
                         case "demand" -> new StepWithoutDemand();
                         default -> throw new IllegalArgumentException("no case: " + args[0]);
