--- a/review/lab2/Case.java
+++ b/review/lab2/Case.java
@@ -24,8 +24,8 @@
             Steps steps =
                     switch (args[0]) {
                         case "cancel" -> new CancelAfterAcceptance();
-                        case "recurring" -> new RecurringJob();
                         case "foreign" -> new ForeignServer();
+                        case "reservation" -> new ReservedForLargeGang();
                         case "demand" -> new StepWithoutDemand();
                         default -> throw new IllegalArgumentException("no case: " + args[0]);
                     };
--- a/review/lab2/Deployment.java
+++ b/review/lab2/Deployment.java
@@ -37,6 +37,9 @@
     static final String HOST = "depot.example";
     static final String PREFIX = "/work/";
 
+    /** The prefix of the queue of the least urgent jobs. */
+    static final String BULK_PREFIX = "/bulk/";
+
     private static final int FIRST_PORT = 10_000;
     private static final int LAST_PORT = 30_000;
     private static final long READY_TIMEOUT_MILLIS = 25_000;
@@ -64,7 +67,6 @@
     private final ExecutorService threads = Executors.newCachedThreadPool(Deployment::daemon);
     private final ScheduledExecutorService timer =
             Executors.newScheduledThreadPool(2, Deployment::daemon);
-    private final DoneTasks doneTasks;
     private final StandInStore store;
     private final List<StandInWorker> workers = new ArrayList<>();
     private final List<Process> processes = new ArrayList<>();
@@ -82,7 +84,6 @@
         this.folder = folder;
         this.journal = journal;
         Runtime.getRuntime().addShutdownHook(new Thread(this::kill));
-        doneTasks = new DoneTasks(journal);
         store = new StandInStore(machines, threads);
         store.put("keyed.op", "config", configuration());
         for (int i = 0; i < workerCount; i++) {
@@ -92,7 +93,6 @@
                             "pool",
                             "r1-" + (i / 8 + 1),
                             0,
-                            doneTasks,
                             store,
                             journal,
                             threads,
@@ -115,10 +115,6 @@
         Thread.sleep(CONTACT_MILLIS + 1_000);
     }
 
-    DoneTasks doneTasks() {
-        return doneTasks;
-    }
-
     List<StandInWorker> workers() {
         return workers;
     }
@@ -128,26 +124,30 @@
     }
 
     Answer submit(int machine, String id, Map<String, Object> job) {
-        return call("POST", machine, id, JsonText.write(job));
+        return call("POST", machine, PREFIX + id, JsonText.write(job));
+    }
+
+    /** Submits a job to the queue of the least urgent ones. */
+    Answer submitBulk(int machine, String id, Map<String, Object> job) {
+        return call("POST", machine, BULK_PREFIX + id, JsonText.write(job));
     }
 
     Answer cancel(int machine, String id) {
-        return call("DELETE", machine, id, "");
+        return call("DELETE", machine, PREFIX + id, "");
     }
 
     Answer state(int machine, String id) {
-        return call("GET", machine, id, "");
+        return call("GET", machine, PREFIX + id, "");
     }
 
-    Answer pending(int machine) {
-        return call("GET", machine, "", "");
+    Answer bulkState(int machine, String id) {
+        return call("GET", machine, BULK_PREFIX + id, "");
     }
 
-    private Answer call(String method, int machine, String id, String body) {
+    private Answer call(String method, int machine, String path, String body) {
         HttpRequest request =
                 HttpRequest.newBuilder(
-                                URI.create(
-                                        "http://127.0.0.1:" + ports.get(machine)[0] + PREFIX + id))
+                                URI.create("http://127.0.0.1:" + ports.get(machine)[0] + path))
                         .method(
                                 method,
                                 body.isEmpty()
@@ -171,7 +171,7 @@
         }
         journal.write(
                 "machine %d: %s %s -> %d %s",
-                machine, method, PREFIX + id, answer.status(), answer.body());
+                machine, method, path, answer.status(), answer.body());
         return answer;
     }
 
@@ -186,35 +186,40 @@
         }
     }
 
+    private static Map<String, Object> route(String name, String prefix, long priority) {
+        return JsonText.object(
+                "name",
+                name,
+                "host",
+                HOST,
+                "path_prefix",
+                prefix,
+                "type",
+                "non_idempotent",
+                "timeout_ms",
+                3_000L,
+                "target_duration_ms",
+                1_500L,
+                "priority",
+                priority,
+                "service",
+                "pool",
+                "max_attempts",
+                3L,
+                "slack_factor",
+                3.0,
+                "public",
+                false);
+    }
+
     private static String configuration() {
         return JsonText.write(
                 JsonText.object(
                         "version", 1L,
                         "routes",
                                 List.of(
-                                        JsonText.object(
-                                                "name",
-                                                "r-work",
-                                                "host",
-                                                HOST,
-                                                "path_prefix",
-                                                PREFIX,
-                                                "type",
-                                                "non_idempotent",
-                                                "timeout_ms",
-                                                3_000L,
-                                                "target_duration_ms",
-                                                1_500L,
-                                                "priority",
-                                                1L,
-                                                "service",
-                                                "pool",
-                                                "max_attempts",
-                                                3L,
-                                                "slack_factor",
-                                                3.0,
-                                                "public",
-                                                false)),
+                                        route("r-work", PREFIX, 1),
+                                        route("r-bulk", BULK_PREFIX, 2)),
                         "services",
                                 List.of(JsonText.object("name", "pool", "enforce_capacity", false)),
                         "limits", JsonText.object("max_body_bytes", 262_144L),
@@ -233,7 +238,7 @@
     StandInWorker addForeignServer(String id, long seenToken) throws IOException {
         journal.write("another writer's entry: %s", id);
         return new StandInWorker(
-                id, "another-pool", "r9-1", seenToken, doneTasks, store, journal, threads, timer);
+                id, "another-pool", "r9-1", seenToken, store, journal, threads, timer);
     }
 
     private void startProcess(int machine) throws IOException {
--- a/review/lab2/StandInWorker.java
+++ b/review/lab2/StandInWorker.java
@@ -37,6 +37,8 @@
 
     private static final class Run {
         private long number;
+        private long beginsMillis;
+        private long workMillis;
         private long endsMillis;
         private String how;
     }
@@ -52,8 +54,6 @@
     private final Map<String, Long> highestRuns = new HashMap<>();
     private final List<List<Object>> ends = new ArrayList<>();
     private final List<Begin> begun = new ArrayList<>();
-    private final Map<Long, Long> listedMillis = new HashMap<>();
-    private final DoneTasks doneTasks;
     private long lastEnd;
     private long token;
     private long leaseEndMillis;
@@ -65,7 +65,6 @@
             String service,
             String rack,
             long seenToken,
-            DoneTasks doneTasks,
             StandInStore store,
             Journal journal,
             ExecutorService threads,
@@ -75,7 +74,6 @@
         this.service = service;
         this.rack = rack;
         this.token = seenToken;
-        this.doneTasks = doneTasks;
         this.store = store;
         this.journal = journal;
         server =
@@ -91,19 +89,9 @@
         return id;
     }
 
-    /** Returns how many ends were listed so far. */
-    synchronized int listedEnds() {
-        return listedMillis.size();
-    }
-
-    /** Returns how many ends were listed this long ago and aren't taken note of. */
-    synchronized int unacknowledgedEnds(long millis) {
-        long until = journal.millis() - millis;
-        return (int)
-                ends.stream()
-                        .map(row -> listedMillis.get((Long) row.get(0)))
-                        .filter(listed -> listed != null && listed <= until)
-                        .count();
+    private List<Object> row(String task, Run run) {
+        long percent = Math.min(99, 100 * (clock() - run.beginsMillis) / run.workMillis);
+        return List.of(task, run.number, "", percent, 0L);
     }
 
     private static String jobOf(String task) {
@@ -136,9 +124,6 @@
                 i.remove();
                 String how = lapsed ? "lapsed" : run.how;
                 ends.add(List.of(++lastEnd, entry.getKey(), run.number, how, ""));
-                if (how.equals("done")) {
-                    doneTasks.ended(entry.getKey());
-                }
                 journal.write("%s end %s run %d %s", id, entry.getKey(), run.number, how);
                 notifyAll();
             }
@@ -235,11 +220,11 @@
         Run run = new Run();
         run.number = number;
         run.how = "done";
-        run.endsMillis =
-                clock() + Long.parseLong(((String) call.get("spec")).substring("ms=".length()));
+        run.beginsMillis = clock();
+        run.workMillis = Long.parseLong(((String) call.get("spec")).substring("ms=".length()));
+        run.endsMillis = run.beginsMillis + run.workMillis;
         running.put(task, run);
         begun.add(new Begin(task, journal.millis()));
-        doneTasks.begun(task);
         journal.write("%s begin %s run %d", id, task, number);
         return JsonText.object("status", 200L);
     }
@@ -265,14 +250,8 @@
             wait(until - clock());
         }
         List<Object> rows = new ArrayList<>();
-        running.forEach((task, run) -> rows.add(List.of(task, run.number, "", 50L, 0L)));
+        running.forEach((task, run) -> rows.add(row(task, run)));
         List<List<Object>> listed = ends.stream().limit(LISTED_ENDS).toList();
-        for (List<Object> end : listed) {
-            listedMillis.putIfAbsent((Long) end.get(0), journal.millis());
-            if (end.get(3).equals("done")) {
-                doneTasks.listed((String) end.get(1));
-            }
-        }
         return JsonText.object(
                 "status", 200L, "born", born, "running", rows, "finished_runs", listed);
     }
