Read the jobs before a cancel is answered 410

The view lags behind an acknowledged acceptance by the pause between reads and a round trip.

Ruled out: a stored cancellation that the scheduler ignores (none is stored).

Why it works: absence is now shown by a read that was sent after the call and has reached the end of the stream, so every acceptance that was acknowledged before is in the view. Without such a read a cancel is refused with 503. Reads of calls that arrive together are shared.

--- a/node/src/main/java/io/cardamomshelf/node/Node.java
+++ b/node/src/main/java/io/cardamomshelf/node/Node.java
@@ -136,12 +136,12 @@
                         adapter.store(),
                         operators,
                         candidate.jobs(),
+                        jobsFollower,
                         candidate.workers(),
                         clock,
                         settings.bounds(),
                         metrics,
-                        operatorsFollower::proofAgeMillis,
-                        jobsFollower::proofAgeMillis);
+                        operatorsFollower::proofAgeMillis);
         this.readinessServer = new ReadinessServer(vertx, callers::isReady);
         this.metricsServer = new MetricsServer(vertx, metrics);
         metrics.gauge(Name.CONFIGURATION_AGE_MILLIS, operatorsFollower::proofAgeMillis);
--- a/node/src/main/java/io/cardamomshelf/node/ingress/CallersServer.java
+++ b/node/src/main/java/io/cardamomshelf/node/ingress/CallersServer.java
@@ -15,6 +15,7 @@
 import io.cardamomshelf.node.settings.NodeSettings;
 import io.cardamomshelf.node.store.JobsView;
 import io.cardamomshelf.node.store.OperatorsView;
+import io.cardamomshelf.node.store.StreamFollower;
 import io.cardamomshelf.node.store.WorkersView;
 import io.smallrye.mutiny.Uni;
 import io.vertx.core.http.HttpMethod;
@@ -65,14 +66,13 @@
      * @param store the store, not null
      * @param operators the view of the operators' configuration, not null
      * @param jobs the view of the jobs, not null
+     * @param jobsFollower reads the stored jobs into that view, not null
      * @param workers the view of the registered workers, not null
      * @param clock the clock, not null
      * @param bounds the time bounds of the service, not null
      * @param metrics the metrics to update, not null
      * @param configurationAgeMillis supplies the time since the configuration was last known to be
      *     current, in milliseconds, not null
-     * @param jobsAgeMillis supplies the time since the jobs were last known to be current, in
-     *     milliseconds, not null
      */
     public CallersServer(
             Vertx vertx,
@@ -80,21 +80,24 @@
             KeyedStore store,
             OperatorsView operators,
             JobsView jobs,
+            StreamFollower jobsFollower,
             WorkersView workers,
             Clock clock,
             NodeSettings.Bounds bounds,
             ServiceMetrics metrics,
-            LongSupplier configurationAgeMillis,
-            LongSupplier jobsAgeMillis) {
+            LongSupplier configurationAgeMillis) {
         this.vertx = vertx;
         this.protocol = protocol;
         this.operators = operators;
         this.clock = clock;
         this.metrics = metrics;
-        this.freshness = new Freshness(bounds, configurationAgeMillis, jobsAgeMillis);
+        this.freshness =
+                new Freshness(bounds, configurationAgeMillis, jobsFollower::proofAgeMillis);
         CallerAppender appender =
                 new CallerAppender(Timers.of(vertx), store, clock, freshness::isStoreReachable);
-        this.jobService = new JobService(protocol, jobs, workers, appender, freshness, clock);
+        this.jobService =
+                new JobService(
+                        protocol, jobs, jobsFollower::catchUp, workers, appender, freshness, clock);
     }
 
     /**
--- a/node/src/main/java/io/cardamomshelf/node/ingress/JobService.java
+++ b/node/src/main/java/io/cardamomshelf/node/ingress/JobService.java
@@ -18,6 +18,7 @@
 import io.cardamomshelf.node.store.WorkersView;
 import io.smallrye.mutiny.Uni;
 import java.util.Optional;
+import java.util.function.Function;
 
 /**
  * Answers callers' submissions, status queries and cancellations of jobs.
@@ -38,8 +39,23 @@
     /** The retry time while the store is unavailable, in seconds: outages last seconds. */
     private static final int UNAVAILABLE_RETRY_SECONDS = 1;
 
+    /** The longest wait for a read that has to confirm that a job is absent, in milliseconds. */
+    private static final long ABSENCE_TIMEOUT_MILLIS = 800;
+
+    /** Updates the view of the jobs. */
+    @FunctionalInterface
+    interface Refresh {
+
+        /**
+         * Reads the stored jobs, at most for the given time. The result is true once the view has
+         * all jobs that were accepted before this call, through any instance.
+         */
+        Uni<Boolean> catchUp(long timeoutMillis);
+    }
+
     private final CallersProtocol protocol;
     private final JobsView jobs;
+    private final Refresh refresh;
     private final WorkersView workers;
     private final CallerAppender appender;
     private final Freshness freshness;
@@ -48,12 +64,14 @@
     JobService(
             CallersProtocol protocol,
             JobsView jobs,
+            Refresh refresh,
             WorkersView workers,
             CallerAppender appender,
             Freshness freshness,
             Clock clock) {
         this.protocol = protocol;
         this.jobs = jobs;
+        this.refresh = refresh;
         this.workers = workers;
         this.appender = appender;
         this.freshness = freshness;
@@ -102,25 +120,32 @@
                 .map(outcome -> submissionAnswer(outcome, job));
     }
 
+    /**
+     * Returns the state of a job. If a job isn't known here and can't be read, it is reported as
+     * absent while the view is younger than the visibility bound.
+     */
     Uni<Answer> queryState(Call call) {
-        Optional<JobsView.Entry> entry = jobs.find(JobId.of(call.pathSuffix()));
-        if (entry.isPresent() && !isOfOtherOrganisation(entry.get(), call)) {
-            return stateAnswer(entry.get());
-        }
-        return unknownJobAnswer();
+        return withOwnJob(
+                call,
+                this::stateAnswer,
+                caughtUp -> absenceAnswer(caughtUp || freshness.isAbsenceProven()));
     }
 
+    /**
+     * Cancels a job. A job that isn't known here is reported as absent only after a read: its
+     * caller won't cancel it again, so a job that was accepted a moment ago would run to its end.
+     */
     Uni<Answer> cancel(Call call) {
-        JobId id = JobId.of(call.pathSuffix());
-        Optional<JobsView.Entry> entry = jobs.find(id);
-        if (entry.isEmpty() || isOfOtherOrganisation(entry.get(), call)) {
-            return unknownJobAnswer();
-        }
-        if (entry.get().isCancelled() || entry.get().state().isEnded()) {
-            return stateAnswer(entry.get());
+        return withOwnJob(call, entry -> cancel(entry, call), this::absenceAnswer);
+    }
+
+    private Uni<Answer> cancel(JobsView.Entry entry, Call call) {
+        if (entry.isCancelled() || entry.state().isEnded()) {
+            return stateAnswer(entry);
         }
+        JobId id = JobId.of(call.pathSuffix());
         return append(JobRecords.cancelled(id), call)
-                .map(outcome -> cancellationAnswer(outcome, id, entry.get()));
+                .map(outcome -> cancellationAnswer(outcome, id, entry));
     }
 
     Uni<Answer> queryPending(Call call) {
@@ -204,12 +229,45 @@
         return completed(new Answer(Answer.OK, protocol.formatState(entry.state()), 0));
     }
 
-    private Uni<Answer> unknownJobAnswer() {
-        return freshness.isAbsenceProven()
+    private Uni<Answer> absenceAnswer(boolean isProven) {
+        return isProven
                 ? refusal(Answer.GONE, "there is no such job")
                 : refusal(Answer.UNAVAILABLE, "the jobs aren't current here");
     }
 
+    /**
+     * Answers a call with the caller's job. One that isn't known here is read first, and if it is
+     * still unknown, {@code ifAbsent} gets whether the view is current as of the call.
+     */
+    private Uni<Answer> withOwnJob(
+            Call call,
+            Function<JobsView.Entry, Uni<Answer>> ifPresent,
+            Function<Boolean, Uni<Answer>> ifAbsent) {
+        Optional<JobsView.Entry> known = findOwn(call);
+        if (known.isPresent()) {
+            return ifPresent.apply(known.get());
+        }
+        return catchUp(call)
+                .chain(
+                        caughtUp ->
+                                findOwn(call)
+                                        .map(ifPresent)
+                                        .orElseGet(() -> ifAbsent.apply(caughtUp)));
+    }
+
+    private Optional<JobsView.Entry> findOwn(Call call) {
+        return jobs.find(JobId.of(call.pathSuffix()))
+                .filter(entry -> !isOfOtherOrganisation(entry, call));
+    }
+
+    private Uni<Boolean> catchUp(Call call) {
+        long remainingMillis = call.deadlineMillis() - clock.monotonicMillis();
+        if (remainingMillis <= 0 || !freshness.isStoreReachable()) {
+            return Uni.createFrom().item(false);
+        }
+        return refresh.catchUp(Math.min(remainingMillis, ABSENCE_TIMEOUT_MILLIS));
+    }
+
     private static boolean isOfOtherOrganisation(JobsView.Entry entry, Call call) {
         return !call.route().isPublic()
                 && !entry.job().orElseThrow().organisation().equals(call.organisation());
--- a/node/src/main/java/io/cardamomshelf/node/store/StreamFollower.java
+++ b/node/src/main/java/io/cardamomshelf/node/store/StreamFollower.java
@@ -11,6 +11,7 @@
 import io.cardamomshelf.node.port.KeyedStore.Tail;
 import io.cardamomshelf.node.port.StoredRecord;
 import io.smallrye.mutiny.Uni;
+import io.smallrye.mutiny.subscription.UniEmitter;
 import java.util.ArrayList;
 import java.util.List;
 
@@ -66,6 +67,8 @@
     /** The age of a fold that was never current: longer than the lifetime of any process. */
     private static final long NEVER_CURRENT_AGE_MILLIS = Long.MAX_VALUE / 2;
 
+    private static final long UNKNOWN_END = -1;
+
     private final Timers timers;
     private final KeyedStore store;
     private final KeyedStore.Stream stream;
@@ -80,6 +83,11 @@
     /** When the last read that reached the end was sent; null before the first. */
     private ClockReading currentAsOf;
 
+    /** The calls of {@code catchUp} that the next read beside the regular ones serves. */
+    private final List<UniEmitter<? super Boolean>> awaitingRead = new ArrayList<>();
+
+    private boolean catchingUp;
+
     /**
      * Creates a follower.
      *
@@ -153,6 +161,72 @@
                 .with(tail -> applyTail(tail, sent), this::reportUnreachable);
     }
 
+    /**
+     * Reads the stream up to its current end, beside the regular reads. Calls that arrive while
+     * such a read is in flight share the next one, so there is at most one at a time.
+     *
+     * @param timeoutMillis the maximum time to wait, in milliseconds
+     * @return true once the fold has every record that was stored before this call, false if the
+     *     stream couldn't be read in time; never fails
+     */
+    public Uni<Boolean> catchUp(long timeoutMillis) {
+        return Uni.createFrom()
+                .emitter(
+                        emitter -> {
+                            awaitingRead.add(emitter);
+                            timers.after(
+                                    timeoutMillis,
+                                    () -> {
+                                        awaitingRead.remove(emitter);
+                                        emitter.complete(false);
+                                    });
+                            if (!catchingUp) {
+                                catchUpAwaiting();
+                            }
+                        });
+    }
+
+    /** Starts a read for the waiting calls, if there are any. */
+    private void catchUpAwaiting() {
+        catchingUp = !awaitingRead.isEmpty();
+        if (!catchingUp) {
+            return;
+        }
+        List<UniEmitter<? super Boolean>> served = List.copyOf(awaitingRead);
+        awaitingRead.clear();
+        if (running && loaded) {
+            readUpTo(UNKNOWN_END, served);
+        } else {
+            completeCatchUp(served, false);
+        }
+    }
+
+    /** Reads until the records before an offset are applied; the first read tells the offset. */
+    private void readUpTo(long endOffset, List<UniEmitter<? super Boolean>> served) {
+        ClockReading sent = clock.now();
+        store.read(stream, nextOffset, 0)
+                .subscribe()
+                .with(
+                        tail -> {
+                            applyTail(tail, sent);
+                            long target = endOffset == UNKNOWN_END ? tail.end() : endOffset;
+                            if (nextOffset < target && running) {
+                                readUpTo(target, served);
+                            } else {
+                                completeCatchUp(served, nextOffset >= target);
+                            }
+                        },
+                        failure -> {
+                            reportUnreachable(failure);
+                            completeCatchUp(served, false);
+                        });
+    }
+
+    private void completeCatchUp(List<UniEmitter<? super Boolean>> served, boolean caughtUp) {
+        served.forEach(emitter -> emitter.complete(caughtUp));
+        catchUpAwaiting();
+    }
+
     /**
      * Returns the position up to which records were applied.
      *
--- a/node/src/test/java/io/cardamomshelf/node/ingress/CallersServerTest.java
+++ b/node/src/test/java/io/cardamomshelf/node/ingress/CallersServerTest.java
@@ -13,6 +13,7 @@
 import io.cardamomshelf.node.metric.ServiceMetrics;
 import io.cardamomshelf.node.port.CallersProtocol;
 import io.cardamomshelf.node.port.Configuration;
+import io.cardamomshelf.node.port.KeyedStore.Stream;
 import io.cardamomshelf.node.port.OperatorFact;
 import io.cardamomshelf.node.port.RecordDecoder;
 import io.cardamomshelf.node.port.StoredRecord;
@@ -20,6 +21,7 @@
 import io.cardamomshelf.node.store.JobRecords;
 import io.cardamomshelf.node.store.JobsView;
 import io.cardamomshelf.node.store.OperatorsView;
+import io.cardamomshelf.node.store.StreamFollower;
 import io.cardamomshelf.node.store.WorkersView;
 import io.vertx.mutiny.core.Vertx;
 import io.vertx.mutiny.core.buffer.Buffer;
@@ -120,19 +122,22 @@
 
     private final Vertx vertx = Vertx.vertx();
     private final VirtualTime time = new VirtualTime();
+    private final FakeStore store = new FakeStore(time);
     private final OperatorsView operators = new OperatorsView(new Decoder(), () -> {});
+    private final JobsView jobs = new JobsView(new NoListener());
     private final CallersServer server =
             new CallersServer(
                     vertx,
                     new FailingProtocol(),
-                    new FakeStore(time),
+                    store,
                     operators,
-                    new JobsView(new NoListener()),
+                    jobs,
+                    new StreamFollower(
+                            time, store, Stream.JOBS, jobs, time, new StreamFollower.Pace(600, 80)),
                     new WorkersView(new Decoder(), new NoListener()),
                     time,
                     new NodeSettings.Bounds(5_000, 3_000, 6_000, 10_000, 120_000),
                     new ServiceMetrics(),
-                    () -> 0,
                     () -> 0);
 
     @AfterEach
--- a/node/src/test/java/io/cardamomshelf/node/store/StreamFollowerTest.java
+++ b/node/src/test/java/io/cardamomshelf/node/store/StreamFollowerTest.java
@@ -11,6 +11,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 
@@ -150,4 +151,86 @@
             assertEquals(List.of("a", "b"), appliedKeys);
         }
     }
+
+    /** Reads that answer a call from all that was stored before it. */
+    @Nested
+    class CatchUp {
+
+        private final List<Boolean> results = new ArrayList<>();
+
+        private void catchUp() {
+            follower.catchUp(500).subscribe().with(results::add);
+        }
+
+        @BeforeEach
+        void startOnAQuietStream() {
+            store.waitShare = 1;
+            follower.start();
+            time.advance(100);
+        }
+
+        @Test
+        void appliesWhatIsStoredWhileTheRegularReadIsInFlight() {
+            write("a");
+            write("b");
+            catchUp();
+            time.advance(10);
+            assertEquals(List.of(true), results);
+            assertEquals(List.of("a", "b"), appliedKeys);
+            time.advance(2_000);
+            assertEquals(List.of("a", "b"), appliedKeys);
+        }
+
+        @Test
+        void servesCallsDuringAReadByTheNextOne() {
+            catchUp();
+            time.advance(2);
+            write("a");
+            catchUp();
+            catchUp();
+            time.advance(3);
+            assertEquals(List.of(true), results);
+            time.advance(10);
+            assertEquals(List.of(true, true, true), results);
+            assertEquals(List.of("a"), appliedKeys);
+        }
+
+        @Test
+        void failsWhileTheStoreIsUnreachable() {
+            store.fault = Fault.REFUSING;
+            catchUp();
+            time.advance(10);
+            assertEquals(List.of(false), results);
+        }
+
+        @Test
+        void failsAfterItsTimeout() {
+            store.readMillis = 1_000;
+            catchUp();
+            time.advance(499);
+            assertEquals(List.of(), results);
+            time.advance(1);
+            assertEquals(List.of(false), results);
+        }
+
+        @Test
+        void failsBeforeTheNewestRecordsAreLoaded() {
+            StreamFollower notStarted =
+                    new StreamFollower(
+                            time,
+                            store,
+                            Stream.JOBS,
+                            new StreamFollower.Fold() {
+                                @Override
+                                public void replace(List<StoredRecord> records) {}
+
+                                @Override
+                                public void apply(StoredRecord record) {}
+                            },
+                            time,
+                            new StreamFollower.Pace(1_000, 0));
+            notStarted.catchUp(500).subscribe().with(results::add);
+            assertEquals(List.of(false), results);
+        }
+    }
 }
