Limit how long a reservation delays work on a mostly idle service

Cause: a reservation holds capacity back from less urgent work that may not end before the gang can start, for as long as the gang waits. Waits for a rack or for workers after failures are limited on a mostly idle service; this one wasn't.

Ruled out: the missing estimate alone (a job with a long estimate was held back too) and a wrong forecast (it was right).

Why it works: a group that hasn't started a task for 2.5 s while less than half of each resource is in use ignores reservations. The time counts only while the service is mostly idle, so a queue from a busy time doesn't take a gang's capacity at once.

--- a/core/src/main/java/io/cardamomshelf/core/schedule/LocalityPolicy.java
+++ b/core/src/main/java/io/cardamomshelf/core/schedule/LocalityPolicy.java
@@ -28,12 +28,10 @@
      */
     private static final long IDLE_MAX_WAIT_MILLIS = 2_000;
 
-    private final RoundCapacity capacity;
     private final Forecast forecast;
     private final ClockReading now;
 
-    LocalityPolicy(RoundCapacity capacity, Forecast forecast, ClockReading now) {
-        this.capacity = capacity;
+    LocalityPolicy(Forecast forecast, ClockReading now) {
         this.forecast = forecast;
         this.now = now;
     }
@@ -41,8 +39,7 @@
     /** Whether the tasks will fit in a preferred rack soon enough. */
     boolean isWorthWaiting(
             TaskGroup group, int count, QueuePolicy policy, Collection<List<WorkerState>> racks) {
-        long waitedMillis = group.waitedMillis(now.monotonicMillis());
-        if (waitedMillis >= IDLE_MAX_WAIT_MILLIS && capacity.isMostlyIdle(policy.service())) {
+        if (group.idleDelayMillis(now.monotonicMillis()) >= IDLE_MAX_WAIT_MILLIS) {
             return false;
         }
         if (policy.priority() == 0) {
--- a/core/src/main/java/io/cardamomshelf/core/schedule/Reservations.java
+++ b/core/src/main/java/io/cardamomshelf/core/schedule/Reservations.java
@@ -14,6 +14,10 @@
  * equal priority may use it if it fits now; otherwise narrow gangs would wait behind a wide one
  * while capacity is idle.
  *
+ * <p>While a service is mostly idle, a reservation delays other work for a short time only: the
+ * gang may wait for much longer than its forecast says, and the capacity would be idle all the
+ * while.
+ *
  * <p>Because wide gangs could starve this way, one gang in each round is also protected from work
  * of equal priority. It is the first gang of the round that can still meet its objective or that
  * has starved.
--- a/core/src/main/java/io/cardamomshelf/core/schedule/Round.java
+++ b/core/src/main/java/io/cardamomshelf/core/schedule/Round.java
@@ -38,7 +38,7 @@
         this.capacity = new RoundCapacity(state, now.monotonicMillis());
         this.placer = new TaskPlacer(capacity);
         Forecast forecast = new Forecast(capacity, now);
-        this.localityPolicy = new LocalityPolicy(capacity, forecast, now);
+        this.localityPolicy = new LocalityPolicy(forecast, now);
         this.reservations = new Reservations(capacity, forecast, now);
     }
 
@@ -87,6 +87,8 @@
         if (waitingTasks.isEmpty()) {
             return;
         }
+        boolean isMostlyIdle = capacity.isMostlyIdle(policy(group).service());
+        group.updateIdleDelay(isMostlyIdle, now.monotonicMillis());
         if (policy(group).advised()) {
             state.requestTickets(group, now);
         }
--- a/core/src/main/java/io/cardamomshelf/core/schedule/RoundCapacity.java
+++ b/core/src/main/java/io/cardamomshelf/core/schedule/RoundCapacity.java
@@ -26,6 +26,12 @@
      */
     private record Reservation(Resources amount, int excludedFromPriority, long neededMillis) {}
 
+    /**
+     * How long reservations delay other work while the service is mostly idle, in milliseconds:
+     * work doesn't wait beside free capacity for 3 s.
+     */
+    private static final long MAX_IDLE_DELAY_MILLIS = 2_500;
+
     private final SchedulerState state;
     private final Collection<WorkerState> workers;
     private final List<WorkerState> openWorkers;
@@ -65,12 +71,13 @@
 
     /**
      * The free capacity of a worker, less the reservations that the group must respect because of
-     * its priority and its estimated end.
+     * its priority and its estimated end. Work that was delayed too long beside idle capacity
+     * respects none, as a gang may wait for much longer than estimates say.
      */
     Resources freeFor(TaskGroup group, WorkerState worker) {
         Resources free = free(worker);
         List<Reservation> onWorker = reservations.getOrDefault(worker.id(), List.of());
-        if (onWorker.isEmpty()) {
+        if (onWorker.isEmpty() || group.idleDelayMillis(nowMillis) >= MAX_IDLE_DELAY_MILLIS) {
             return free;
         }
         int priority = state.policy(group.owner()).priority();
--- a/core/src/main/java/io/cardamomshelf/core/schedule/TaskGroup.java
+++ b/core/src/main/java/io/cardamomshelf/core/schedule/TaskGroup.java
@@ -24,7 +24,7 @@
     private static final int STARVED_FACTOR = 2;
 
     private static final Avoidance NO_AVOIDANCE = new Avoidance();
-    private static final long NOT_WAITING = Long.MIN_VALUE;
+    private static final long NOT_DELAYED = Long.MIN_VALUE;
 
     private final LiveJob owner;
     private final int occurrence;
@@ -38,7 +38,7 @@
     private final Map<Integer, Run> runs = new HashMap<>();
     private final Map<WorkerId, Avoidance> avoidances = new HashMap<>();
     private String reservedRack = "";
-    private long waitingSinceMillis = NOT_WAITING;
+    private long delayedSinceMillis = NOT_DELAYED;
 
     TaskGroup(LiveJob owner, int occurrence, int step, long readyMillis) {
         this.owner = owner;
@@ -143,16 +143,22 @@
         return !spec.gang() || runs.values().stream().allMatch(run -> run.number == number);
     }
 
-    /** Returns how long tasks have waited since the last start, as found by the rounds. */
-    long waitedMillis(long nowMillis) {
-        if (waitingSinceMillis == NOT_WAITING) {
-            waitingSinceMillis = nowMillis;
+    /** Records in a round in which tasks wait whether their service is mostly idle. */
+    void updateIdleDelay(boolean isMostlyIdle, long nowMillis) {
+        if (!isMostlyIdle) {
+            delayedSinceMillis = NOT_DELAYED;
+        } else if (delayedSinceMillis == NOT_DELAYED) {
+            delayedSinceMillis = nowMillis;
         }
-        return nowMillis - waitingSinceMillis;
+    }
+
+    /** For how long no task has started while the service was mostly idle, in milliseconds. */
+    long idleDelayMillis(long nowMillis) {
+        return delayedSinceMillis == NOT_DELAYED ? 0 : nowMillis - delayedSinceMillis;
     }
 
     void addRun(Run run) {
-        waitingSinceMillis = NOT_WAITING;
+        delayedSinceMillis = NOT_DELAYED;
         runs.put(run.task.index(), run);
     }
 
--- a/core/src/test/java/io/cardamomshelf/core/schedule/ReservationsTest.java
+++ b/core/src/test/java/io/cardamomshelf/core/schedule/ReservationsTest.java
@@ -206,6 +206,69 @@
         }
     }
 
+    /**
+     * Guards against jobs that wait beside idle capacity for as long as a gang can't start: it
+     * needs six whole workers, each of which has one long task.
+     */
+    @Nested
+    class OnAMostlyIdleService {
+
+        private static final int WORKERS = 6;
+        private static final int SMALL_JOB = 2;
+
+        private final SchedulerFixture sixWorkers = new SchedulerFixture();
+
+        private Set<JobId> startedJobs() {
+            Set<JobId> jobs = new HashSet<>();
+            sixWorkers.startAll().forEach(start -> jobs.add(start.task().job()));
+            return jobs;
+        }
+
+        private void submitGangBehindLongTasks(int acceleratorsOfLongTasks) {
+            for (int i = 1; i <= WORKERS; i++) {
+                sixWorkers.addIdleWorker("d" + i, "r1-1");
+            }
+            sixWorkers.submit(
+                    100,
+                    1,
+                    step(WORKERS, 5_600, 20_000, acceleratorsOfLongTasks)
+                            .maxPerWorker(1)
+                            .estimateMillis(60_000));
+            startedJobs();
+            sixWorkers.submit(GANG, 1, step(WORKERS, 26_000, 20_000, ACCELERATORS).gang());
+            assertEquals(Set.of(), startedJobs());
+        }
+
+        @Test
+        void aJobWithoutEstimateStartsBesideTheReservationsAfterAShortDelay() {
+            submitGangBehindLongTasks(1);
+            sixWorkers.submit(SMALL_JOB, 2, step(1, 5_600, 20_000, 1).estimateMillis(0));
+            assertEquals(Set.of(), startedJobs());
+            sixWorkers.advanceClock(1_500);
+            assertEquals(Set.of(), startedJobs());
+            sixWorkers.advanceClock(1_000);
+            assertEquals(Set.of(SchedulerFixture.job(SMALL_JOB)), startedJobs());
+        }
+
+        @Test
+        void aJobThatOutlastsTheWaitOfTheGangStartsToo() {
+            submitGangBehindLongTasks(1);
+            sixWorkers.submit(SMALL_JOB, 2, step(1, 5_600, 20_000, 1).estimateMillis(90_000));
+            assertEquals(Set.of(), startedJobs());
+            sixWorkers.advanceClock(2_500);
+            assertEquals(Set.of(SchedulerFixture.job(SMALL_JOB)), startedJobs());
+        }
+
+        @Test
+        void aBusyServiceKeepsItsReservations() {
+            submitGangBehindLongTasks(4);
+            sixWorkers.submit(SMALL_JOB, 2, step(1, 5_600, 20_000, 1).estimateMillis(0));
+            startedJobs();
+            sixWorkers.advanceClock(10_000);
+            assertEquals(Set.of(), startedJobs());
+        }
+    }
+
     @Nested
     class UrgentTask {
 
