Allow for leases of calls that were meant for an earlier incarnation

A run lapsed 10.2 s after its start, though leases of 5.5 s are granted; its task had begun elsewhere after 8.2 s.

Cause: a lease end that was computed on one incarnation's clock is far ahead of the next one's clock, which then takes the longest lease. A successor didn't allow for that at all, and a scheduler that had learnt of the restart didn't allow for calls without an answer that are carried out up to 12 s later.

Ruled out: two schedulers of one epoch (the record has epochs 1 and 2) and slow clocks (the tests' clocks are exact).

Why it works: LeaseClock keeps when its unanswered calls with a lease were sent, and after a restart waits for the last of them to expire and for the longest lease after that. An earlier scheduler's calls to a former incarnation end 6 s after the restart or with its term; each process notes restarts in the registry, so a successor knows which workers they concern.

JobRetention is moved out of SchedulerTerm, which had grown too long.

--- a/core/src/main/java/io/cardamomshelf/core/schedule/LeaderLease.java
+++ b/core/src/main/java/io/cardamomshelf/core/schedule/LeaderLease.java
@@ -139,6 +139,17 @@
         }
     }
 
+    /**
+     * Returns when an earlier scheduler sends its last call at the latest, as seen at the beginning
+     * of this one's term. Until its proof by the store is invalid it may not know of the election.
+     *
+     * @param beginMillis the beginning of the term on the monotonic clock, in milliseconds
+     * @return the time on the monotonic clock, in milliseconds
+     */
+    public long lastPredecessorCallMillis(long beginMillis) {
+        return predecessorsEnded ? beginMillis : beginMillis + PROOF_VALID_MILLIS;
+    }
+
     /**
      * Returns whether every lease that an earlier scheduler may have granted has lapsed.
      *
--- a/core/src/main/java/io/cardamomshelf/core/schedule/LeaseClock.java
+++ b/core/src/main/java/io/cardamomshelf/core/schedule/LeaseClock.java
@@ -1,11 +1,25 @@
 package io.cardamomshelf.core.schedule;
 
+import java.util.ArrayDeque;
+import java.util.Deque;
+
 /**
  * Tracks a worker's clock, and computes when all leases that it was granted have lapsed.
  *
- * <p>Use: {@code observe} at each answer, {@code grantLease} for each grant while {@code
- * hasObservation}, {@code haveLeasesLapsed} once the worker is unresponsive, {@code reset} once it
- * has restarted.
+ * <p>Use: {@code observe} at each answer, {@code grantLease} for each call that grants a lease
+ * while {@code hasObservation}, {@code callAnswered} at its answer, {@code haveLeasesLapsed} once
+ * the worker is unresponsive, {@code reset} once it has restarted.
+ *
+ * <p>A call without an answer may be carried out late, and then by the worker's next incarnation.
+ * The end of its lease is far ahead of that one's clock, so the worker grants the longest lease.
+ * Until no such lease can exist any more, {@code haveLeasesLapsed} returns false:
+ *
+ * <ul>
+ *   <li>The calls of this scheduler are known. One that got no answer counts for as long as it may
+ *       be carried out late.
+ *   <li>Those of earlier schedulers aren't known. Each had learnt of a restart soon after it, so an
+ *       incarnation that has been up for long enough has no such lease.
+ * </ul>
  *
  * <p>Limits: the worker's clock may be slow by a fiftieth, so a lease counts as lapsed a little
  * later than its granted length. Not thread-safe: used only on the instance's event loop.
@@ -20,6 +34,21 @@
     /** The time allowed for a killed run to end, in milliseconds. */
     private static final long KILL_MARGIN_MILLIS = 300;
 
+    /** How long after it was sent a call may still be carried out, in milliseconds. */
+    private static final long MAX_CALL_DELAY_MILLIS = 12_000;
+
+    /**
+     * How long a scheduler may go on with the clock of an earlier incarnation, in milliseconds. By
+     * then the registry shows the new one, or has dropped the entry of the old one.
+     */
+    private static final long MAX_RESTART_UNNOTICED_MILLIS = 6_000;
+
+    private final long maxLeaseMillis;
+    private final long lastInheritedCallMillis;
+
+    /** When the calls were sent that grant leases and have no answer, oldest first. */
+    private final Deque<Long> unansweredCalls = new ArrayDeque<>();
+
     private long unknownUntilMillis;
     private boolean known;
     private long observedWorkerMillis;
@@ -29,11 +58,23 @@
     /**
      * Creates the clock of a worker that hasn't answered yet.
      *
-     * @param inheritedUntilMillis when leases of an earlier scheduler have lapsed, on the monotonic
-     *     clock
+     * @param startedMillis when the worker's incarnation had started at the latest, on the
+     *     monotonic clock
+     * @param inheritedUntilMillis when leases that an earlier scheduler granted to this incarnation
+     *     have lapsed, on the monotonic clock
+     * @param lastInheritedCallMillis when an earlier scheduler sent its last call at the latest, on
+     *     the monotonic clock; {@code Long.MIN_VALUE} if there was none
+     * @param maxLeaseMillis the longest lease that a worker grants, in milliseconds
      */
-    public LeaseClock(long inheritedUntilMillis) {
+    public LeaseClock(
+            long startedMillis,
+            long inheritedUntilMillis,
+            long lastInheritedCallMillis,
+            long maxLeaseMillis) {
         this.unknownUntilMillis = inheritedUntilMillis;
+        this.lastInheritedCallMillis = lastInheritedCallMillis;
+        this.maxLeaseMillis = maxLeaseMillis;
+        expectInheritedCalls(startedMillis);
     }
 
     /**
@@ -75,15 +116,60 @@
 
     /**
      * Resets the clock for a new incarnation, which has its own clock. No lease can be granted
-     * before that is observed. A call that was sent to the old incarnation may reach the new one,
-     * which then takes a lease of unknown length from it.
+     * before that is observed. Calls that were meant for the old incarnation may have reached the
+     * new one by now, and those without an answer may still do so.
      *
-     * @param unknownUntilMillis when such a lease has lapsed, on the monotonic clock
+     * @param nowMillis the monotonic clock, in milliseconds
      */
-    public void reset(long unknownUntilMillis) {
+    public void reset(long nowMillis) {
         known = false;
         latestLeaseEndMillis = Long.MIN_VALUE;
-        this.unknownUntilMillis = Math.max(this.unknownUntilMillis, unknownUntilMillis);
+        expectCallUntil(nowMillis);
+        expectInheritedCalls(nowMillis);
+        dropExpiredCalls(nowMillis);
+        if (!unansweredCalls.isEmpty()) {
+            expectCallUntil(unansweredCalls.getLast() + MAX_CALL_DELAY_MILLIS);
+        }
+    }
+
+    /**
+     * Records that a call which grants a lease was answered, so it won't be carried out late.
+     *
+     * @param sentMillis the time that was passed to {@code grantLease} for it
+     */
+    public void callAnswered(long sentMillis) {
+        unansweredCalls.removeFirstOccurrence(sentMillis);
+    }
+
+    /** Allows for the calls of earlier schedulers that were meant for an earlier incarnation. */
+    private void expectInheritedCalls(long startedMillis) {
+        if (lastInheritedCallMillis != Long.MIN_VALUE) {
+            long lastCallMillis =
+                    Math.min(lastInheritedCallMillis, startedMillis + MAX_RESTART_UNNOTICED_MILLIS);
+            expectCallUntil(lastCallMillis + MAX_CALL_DELAY_MILLIS);
+        }
+    }
+
+    /** Allows for a lease of unknown length that is granted at this time at the latest. */
+    private void expectCallUntil(long millis) {
+        unknownUntilMillis = Math.max(unknownUntilMillis, millis + worstCaseMillis(maxLeaseMillis));
+    }
+
+    private void dropExpiredCalls(long nowMillis) {
+        while (!unansweredCalls.isEmpty()
+                && unansweredCalls.getFirst() + MAX_CALL_DELAY_MILLIS < nowMillis) {
+            unansweredCalls.removeFirst();
+        }
+    }
+
+    /**
+     * Returns how long the worker may still have a lease of unknown length.
+     *
+     * @param nowMillis the monotonic clock, in milliseconds
+     * @return milliseconds, 0 if it has none
+     */
+    public long unknownMillis(long nowMillis) {
+        return Math.max(0, unknownUntilMillis - nowMillis);
     }
 
     /**
@@ -96,7 +182,7 @@
     }
 
     /**
-     * Grants a lease that starts now.
+     * Grants a lease that starts now, with a call that is sent now.
      *
      * @param nowMillis the monotonic clock, in milliseconds
      * @param leaseMillis its length, in milliseconds
@@ -109,6 +195,8 @@
         }
         long endMillis = observedWorkerMillis + (nowMillis - observedMillis) + leaseMillis;
         latestLeaseEndMillis = Math.max(latestLeaseEndMillis, endMillis);
+        dropExpiredCalls(nowMillis);
+        unansweredCalls.addLast(nowMillis);
         return endMillis;
     }
 
--- a/node/src/main/java/io/cardamomshelf/node/event/NodeEvent.java
+++ b/node/src/main/java/io/cardamomshelf/node/event/NodeEvent.java
@@ -119,7 +119,9 @@
             "The number of free, held and busy accelerators, once a second while work is waiting."),
     /** A worker has restarted under its identifier. */
     WORKER_RESTARTED(
-            6008, "A worker has restarted under its identifier; the line gives what shows it."),
+            6008,
+            "A worker has restarted under its identifier; the line gives what shows it, and how"
+                    + " long its tasks would wait if it were lost now."),
     /** An entry or lists of another incarnation of a worker aren't used. */
     WORKER_REPORT_IGNORED(
             6009,
--- a/node/src/main/java/io/cardamomshelf/node/port/WorkerOrders.java
+++ b/node/src/main/java/io/cardamomshelf/node/port/WorkerOrders.java
@@ -58,7 +58,16 @@
          * The connection was lost before the answer, perhaps with the worker's process. The order
          * may have been carried out.
          */
-        CONNECTION_LOST
+        CONNECTION_LOST;
+
+        /**
+         * Returns whether a worker gave this answer, so that the order isn't carried out later.
+         *
+         * @return false if there was no answer
+         */
+        public boolean isFromWorker() {
+            return this != UNKNOWN && this != CONNECTION_LOST;
+        }
     }
 
     /**
--- a/node/src/main/java/io/cardamomshelf/node/schedule/OrderSender.java
+++ b/node/src/main/java/io/cardamomshelf/node/schedule/OrderSender.java
@@ -133,6 +133,9 @@
         if (worker.isClosed()) {
             return;
         }
+        if (reply.answer().isFromWorker()) {
+            leaseClock.callAnswered(call.sentMillis());
+        }
         worker.observeClock(reply.clockMillis(), call);
         if (reply.answer() == Answer.FENCED) {
             worker.fenced();
@@ -158,9 +161,9 @@
      * another kind, nor once its run was given up.
      */
     private boolean mayRepeat(Order.Start start, int attempt, long bornMillis, Answer answer) {
-        boolean failed = mayHaveBeenCarriedOut(answer) || answer == Answer.TOO_LATE;
-        return failed
-                && state.handleFailedStart(start, mayHaveBeenCarriedOut(answer), clock.now())
+        boolean mayHaveBeenCarriedOut = !answer.isFromWorker();
+        return (mayHaveBeenCarriedOut || answer == Answer.TOO_LATE)
+                && state.handleFailedStart(start, mayHaveBeenCarriedOut, clock.now())
                 && answer != Answer.CONNECTION_LOST
                 && bornMillis == worker.bornMillis()
                 && attempt < MAX_START_ATTEMPTS
@@ -172,16 +175,12 @@
         if (answer == Answer.DONE) {
             return SchedulerState.StartOutcome.STARTED;
         }
-        boolean certainlyNotStarted = !mayHaveBeenCarriedOut(answer) && attempt == 1;
+        boolean certainlyNotStarted = answer.isFromWorker() && attempt == 1;
         return certainlyNotStarted
                 ? SchedulerState.StartOutcome.REFUSED
                 : SchedulerState.StartOutcome.UNKNOWN;
     }
 
-    private static boolean mayHaveBeenCarriedOut(Answer answer) {
-        return answer == Answer.UNKNOWN || answer == Answer.CONNECTION_LOST;
-    }
-
     private void logStartFailure(Order.Start start, int attempt, WorkerOrders.Reply reply) {
         EventLog.of(NodeEvent.START_FAILED)
                 .with("task", start.task())
--- a/node/src/main/java/io/cardamomshelf/node/schedule/SchedulerCandidate.java
+++ b/node/src/main/java/io/cardamomshelf/node/schedule/SchedulerCandidate.java
@@ -92,6 +92,7 @@
     private final JobsView jobs;
     private final WorkersView workers;
     private final OperatorsView operators;
+    private final ObservedRestarts restarts = new ObservedRestarts();
     private JobRecords.Leader lastLeaderRecord;
     private boolean candidacyInFlight;
     private boolean stopped;
@@ -301,6 +302,7 @@
 
     @Override
     public void workerRegistered(WorkerInfo info) {
+        restarts.record(info, clock.monotonicMillis());
         if (term != null) {
             term.workerRegistered(info);
         }
@@ -392,7 +394,8 @@
                         SchedulerSettings.of(settings.bounds()),
                         metrics,
                         epoch,
-                        new LeaderLease(candidacy.sentAt(), candidacy.predecessorsEnded()));
+                        new LeaderLease(candidacy.sentAt(), candidacy.predecessorsEnded()),
+                        restarts);
         return new SchedulerTerm(context, appender, jobs, operators, workers, onDeposed);
     }
 
--- a/node/src/main/java/io/cardamomshelf/node/schedule/SchedulerTerm.java
+++ b/node/src/main/java/io/cardamomshelf/node/schedule/SchedulerTerm.java
@@ -63,9 +63,7 @@
     private final RosterWriter rosterWriter;
     private final Map<WorkerId, WorkerLink> links = new LinkedHashMap<>();
 
-    /** When this scheduler first found each job ended, in milliseconds on the monotonic clock. */
-    private final Map<JobId, Long> endSeenMillis = new HashMap<>();
-
+    private final JobRetention retention;
     private final RoundReporter roundReporter;
     private final JobReporter jobReporter;
     private boolean roundDue;
@@ -74,6 +72,8 @@
     private boolean takingOver = true;
     private boolean granting = true;
 
+    private LeaseClocks leaseClocks;
+
     /** The workers that earlier schedulers have stored. */
     private Voters inheritedVoters = Voters.of(Set.of());
 
@@ -94,12 +94,19 @@
         this.adviceFetcher = new AdviceFetcher(context, state, this::stateChanged);
         this.roundReporter = new RoundReporter(context, state, jobs);
         this.jobReporter = new JobReporter(context.metrics(), state::rackOf);
+        this.retention = new JobRetention(jobs, context.settings().stateKeptMillis());
         this.rosterWriter = new RosterWriter(appender, state, this::stateChanged);
     }
 
     /** Loads the stored jobs and workers, and starts rounds and calls to workers. */
     void begin() {
         configure();
+        leaseClocks =
+                LeaseClocks.of(
+                        epoch(),
+                        context.leaderLease(),
+                        context.settings(),
+                        context.clock().monotonicMillis());
         rosterWriter.load(jobs.roster());
         inheritedVoters = rosterWriter.voters();
         for (JobsView.Entry entry : jobs.acceptedJobs()) {
@@ -108,14 +115,11 @@
             }
             jobChanged(entry);
         }
-        long inheritedUntilMillis =
-                context.clock().monotonicMillis()
-                        + LeaseClock.worstCaseMillis(context.settings().leaseMillis());
-        workers.registered().forEach(info -> addWorker(info, inheritedUntilMillis));
+        workers.registered().forEach(this::addInheritedWorker);
         for (WorkerInfo info : jobs.roster().workers()) {
             if (!links.containsKey(info.id())) {
                 // No longer registered, but may have runs: it is called, and gets no new runs.
-                addWorker(info, inheritedUntilMillis);
+                addInheritedWorker(info);
                 state.removeWorker(info.id());
             }
         }
@@ -180,7 +184,7 @@
     }
 
     void workerRegistered(WorkerInfo info) {
-        addWorker(info, context.clock().monotonicMillis());
+        addWorker(info, leaseClocks.ofNewWorker(startedMillis(info)));
         links.get(info.id()).renewIfNeeded();
     }
 
@@ -268,17 +272,25 @@
         stateChanged();
     }
 
-    /**
-     * Adds or updates a worker. {@code inheritedUntilMillis} is when leases that an earlier
-     * scheduler granted have lapsed, on the monotonic clock.
-     */
-    private void addWorker(WorkerInfo info, long inheritedUntilMillis) {
+    private void addInheritedWorker(WorkerInfo info) {
+        addWorker(info, leaseClocks.ofInheritedWorker(startedMillis(info)));
+    }
+
+    /** Returns when the incarnation of an entry had started at the latest. */
+    private long startedMillis(WorkerInfo info) {
+        return jobs.roster().isStoredWithOtherIncarnation(info)
+                ? context.clock().monotonicMillis()
+                : context.restarts().startedMillis(info.id());
+    }
+
+    /** Adds a worker with the given clock, or updates one that has a link. */
+    private void addWorker(WorkerInfo info, LeaseClock leaseClock) {
         WorkerLink link = links.get(info.id());
         if (link != null) {
             link.entryRead(info);
             return;
         }
-        links.put(info.id(), new WorkerLink(context, state, this, info, inheritedUntilMillis));
+        links.put(info.id(), new WorkerLink(context, state, this, info, leaseClock));
         entryConfirmed(info, true);
     }
 
@@ -288,6 +300,7 @@
             EventLog.of(NodeEvent.WORKER_SEEN)
                     .with("worker", entry.id())
                     .with("bornMillis", entry.bornMillis())
+                    .with("clockMillis", entry.clockMillis())
                     .with("dataCentre", entry.dataCentre())
                     .with("rack", entry.rack())
                     .with("capacity", entry.capacity())
@@ -413,30 +426,19 @@
         }
     }
 
-    /**
-     * Drops the records of jobs whose retention has passed. The retention counts from when this
-     * scheduler first found the job ended, so a change of scheduler extends it.
-     */
+    /** Drops the records of jobs whose retention has passed. */
     private void dropExpiredJobs() {
-        long now = context.clock().monotonicMillis();
-        List<StoredRecord> drops = new ArrayList<>();
-        for (JobsView.Entry entry : jobs.acceptedJobs()) {
-            JobId id = entry.job().orElseThrow().id();
-            if (!entry.progress().state().isEnded()) {
-                continue;
-            }
-            state.removeJobIfEnded(id);
-            roundReporter.forget(id);
-            jobReporter.forget(id);
-            long jobEndSeenMillis = endSeenMillis.computeIfAbsent(id, key -> now);
-            if (now - jobEndSeenMillis > context.settings().stateKeptMillis()) {
-                drops.addAll(JobRecords.jobDropped(id));
-                endSeenMillis.remove(id);
-            }
-        }
+        List<StoredRecord> drops =
+                retention.findExpired(context.clock().monotonicMillis(), this::forgetEnded);
         if (!drops.isEmpty()) {
             appender.append(drops, () -> {});
         }
         rosterWriter.dropUnregistered(registeredWorkers());
     }
+
+    private void forgetEnded(JobId id) {
+        state.removeJobIfEnded(id);
+        roundReporter.forget(id);
+        jobReporter.forget(id);
+    }
 }
--- a/node/src/main/java/io/cardamomshelf/node/schedule/SchedulerTermContext.java
+++ b/node/src/main/java/io/cardamomshelf/node/schedule/SchedulerTermContext.java
@@ -18,6 +18,7 @@
  * @param metrics the metrics to update
  * @param epoch the term's epoch, which is its fencing token
  * @param leaderLease decides whether leases may be granted
+ * @param restarts the restarts of workers that this process has seen
  */
 record SchedulerTermContext(
         Timers timers,
@@ -27,4 +28,5 @@
         SchedulerSettings settings,
         ServiceMetrics metrics,
         long epoch,
-        LeaderLease leaderLease) {}
+        LeaderLease leaderLease,
+        ObservedRestarts restarts) {}
--- a/node/src/main/java/io/cardamomshelf/node/schedule/WorkerEvents.java
+++ b/node/src/main/java/io/cardamomshelf/node/schedule/WorkerEvents.java
@@ -23,10 +23,14 @@
         this.metrics = metrics;
     }
 
-    void restarted(long bornMillis, String shownBy) {
+    /**
+     * Records a restart; if the worker is lost now, its tasks wait for {@code leasesUnknownMillis}.
+     */
+    void restarted(long bornMillis, String shownBy, long leasesUnknownMillis) {
         event(NodeEvent.WORKER_RESTARTED)
                 .with("bornMillis", bornMillis)
                 .with("shownBy", shownBy)
+                .with("leasesUnknownMillis", leasesUnknownMillis)
                 .write();
     }
 
--- a/node/src/main/java/io/cardamomshelf/node/schedule/WorkerLink.java
+++ b/node/src/main/java/io/cardamomshelf/node/schedule/WorkerLink.java
@@ -80,7 +80,10 @@
     private final Callbacks callbacks;
     private final long token;
     private final long leaseMillis;
-    private final long maxLeaseMillis;
+
+    /** How long an incarnation may run under the lease of a call that was meant for another one. */
+    private final long worstLeaseMillis;
+
     private final LeaseClock leaseClock;
     private final OrderSender orderSender;
     private final LeaderLease leaderLease;
@@ -107,13 +110,13 @@
             SchedulerState state,
             Callbacks callbacks,
             WorkerInfo info,
-            long inheritedUntilMillis) {
+            LeaseClock leaseClock) {
         this.pause = new Pause(context.timers(), this::renewIfNeeded);
         this.orders = context.orders();
         this.clock = context.clock();
         this.token = context.epoch();
         this.leaseMillis = context.settings().leaseMillis();
-        this.maxLeaseMillis = context.settings().maxLeaseMillis();
+        this.worstLeaseMillis = LeaseClock.worstCaseMillis(context.settings().maxLeaseMillis());
         this.state = state;
         this.callbacks = callbacks;
         this.info = info;
@@ -121,7 +124,7 @@
         this.acknowledgements = new EndAcknowledgements(info.bornMillis());
         this.events = new WorkerEvents(info.id(), context.metrics());
         this.ignoredReports = new IgnoredReports(info.id());
-        this.leaseClock = new LeaseClock(inheritedUntilMillis);
+        this.leaseClock = leaseClock;
         this.orderSender = new OrderSender(context, state, leaseClock, this);
         this.leaderLease = context.leaderLease();
         if (info.clockMillis() > 0) {
@@ -258,6 +261,7 @@
         SentRenewal renewal =
                 new SentRenewal(
                         now,
+                        leaseEndMillis.isPresent(),
                         waitMillis,
                         info.bornMillis(),
                         incarnations.version(),
@@ -278,6 +282,9 @@
         if (closed) {
             return;
         }
+        if (renewal.grantsLease() && reply.answer().isFromWorker()) {
+            leaseClock.callAnswered(renewal.sentAt().monotonicMillis());
+        }
         if (reply.answer() == Answer.DONE && !isCurrent(reply.lists().bornMillis(), renewal)) {
             ignoredReports.add(Kind.LISTS, reply.lists().bornMillis(), info.bornMillis());
             pause.begin(RETRY_PAUSE_MILLIS);
@@ -359,7 +366,7 @@
             events.silent(reply);
         }
         if (consecutiveFailures >= UNRESPONSIVE_AFTER_FAILURES && haveLeasesLapsed()) {
-            declareRunsLost("its leases have lapsed", clock.monotonicMillis() - worstLeaseMillis());
+            declareRunsLost("its leases have lapsed", clock.monotonicMillis() - worstLeaseMillis);
         }
         useAnnouncedEntryIfIdle();
         pause.begin(RETRY_PAUSE_MILLIS);
@@ -405,23 +412,15 @@
 
     /** A new incarnation has its own clock, has no leases, and numbers its ends of runs afresh. */
     private void beginIncarnation(long bornMillis, String shownBy) {
-        events.restarted(bornMillis, shownBy);
+        long nowMillis = clock.monotonicMillis();
+        leaseClock.reset(nowMillis);
+        events.restarted(bornMillis, shownBy, leaseClock.unknownMillis(nowMillis));
         incarnations.begin(bornMillis);
         state.workerReports().beginIncarnation(info.id(), bornMillis);
         info = info.withBornMillis(bornMillis);
-        resetLeaseClock();
         acknowledgements.beginIncarnation(bornMillis);
     }
 
-    private void resetLeaseClock() {
-        leaseClock.reset(clock.monotonicMillis() + worstLeaseMillis());
-    }
-
-    /** How long an incarnation may run under the lease of a call that was meant for another one. */
-    private long worstLeaseMillis() {
-        return LeaseClock.worstCaseMillis(maxLeaseMillis);
-    }
-
     /**
      * Records the clock in an answer. If it shows a restart, the worker is asked for its lists. An
      * answer to a call from before a known restart may have the clock of either incarnation.
@@ -433,7 +432,7 @@
         }
         if (leaseClock.showsRestart(workerClockMillis.getAsLong(), call.sentMillis())) {
             events.clockShowsRestart();
-            resetLeaseClock();
+            leaseClock.reset(clock.monotonicMillis());
             acknowledgements.awaitLists();
             state.workerReports().require(info.id());
         }
--- a/node/src/main/java/io/cardamomshelf/node/store/Roster.java
+++ b/node/src/main/java/io/cardamomshelf/node/store/Roster.java
@@ -31,6 +31,18 @@
         return List.copyOf(workers.values());
     }
 
+    /**
+     * Returns whether another incarnation of a worker is stored than the one of an entry, so that
+     * the scheduler which stored it may not have known that the worker has restarted.
+     *
+     * @param entry the entry, not null
+     * @return false also if the worker isn't stored
+     */
+    public boolean isStoredWithOtherIncarnation(WorkerInfo entry) {
+        WorkerInfo stored = workers.get(entry.id());
+        return stored != null && stored.bornMillis() != entry.bornMillis();
+    }
+
     void apply(StoredRecord record) throws StoreException {
         WorkerId id = JobRecords.workerId(record);
         if (record.isTombstone()) {
