Keep a term that the store proves though a worker refuses its token

Cause: each entry got calls, whatever its service, and one refusal by fence ended the scheduler's term. The server behind the entry had a higher token from somebody else, so it ended every term.

Ruled out: that only the foreign service matters.

Why it works: workers of services that no queue or job names get no calls. After a refusal leases are granted only on a proof from after it, so a real successor still ends the term by the store, at the next append or read; without the store two refusing workers end it after a second. The worker that refused isn't called again before it restarts.

SchedulerTerm's links are now in WorkerLinks, LinkOwner is a file of its own.

--- a/core/src/main/java/io/cardamomshelf/core/schedule/LeaderLease.java
+++ b/core/src/main/java/io/cardamomshelf/core/schedule/LeaderLease.java
@@ -43,6 +43,10 @@
     private final Map<WorkerId, ClockReading> lastAnswers = new HashMap<>();
     private final boolean predecessorsEnded;
     private ClockReading lastAppend;
+
+    /** When a worker last refused this scheduler's token; older proofs don't count. */
+    private long doubtedMillis = NEVER;
+
     private long firstCheckMillis = NEVER;
     private long majorityAnsweredMillis = NEVER;
 
@@ -79,6 +83,26 @@
         return lastAppend.monotonicMillis();
     }
 
+    /**
+     * Records that a worker has refused a call, as it has seen a higher fencing token. Another
+     * scheduler may have been elected, so only proofs from later calls count.
+     *
+     * @param now the time, not null
+     */
+    public void recordRefusal(ClockReading now) {
+        doubtedMillis = now.monotonicMillis();
+    }
+
+    /**
+     * Returns whether an append was stored that was sent after the last refusal, so that no
+     * successor had been elected by then.
+     *
+     * @return true also if there was no refusal
+     */
+    public boolean isProvenSinceRefusal() {
+        return lastAppend.monotonicMillis() > doubtedMillis;
+    }
+
     /**
      * Records that a worker has accepted a call.
      *
@@ -97,7 +121,7 @@
      * @return true if the last stored append is old
      */
     public boolean needsWorkerAnswers(ClockReading now) {
-        return now.maxMillisSince(lastAppend) >= ASK_WORKERS_AGE_MILLIS;
+        return now.maxMillisSince(lastAppend) >= ASK_WORKERS_AGE_MILLIS || !isProvenSinceRefusal();
     }
 
     /**
@@ -110,7 +134,7 @@
      */
     public boolean mayGrant(ClockReading now, Supplier<Voters> voters) {
         long proofAgeMillis = now.maxMillisSince(lastAppend);
-        if (proofAgeMillis < PROOF_VALID_MILLIS) {
+        if (proofAgeMillis < PROOF_VALID_MILLIS && isProvenSinceRefusal()) {
             return true;
         }
         return proofAgeMillis < MAX_WITHOUT_STORE_MILLIS
@@ -119,7 +143,9 @@
 
     private boolean hasAnsweredLately(WorkerId worker, ClockReading now) {
         ClockReading sent = lastAnswers.get(worker);
-        return sent != null && now.maxMillisSince(sent) < PROOF_VALID_MILLIS;
+        return sent != null
+                && sent.monotonicMillis() > doubtedMillis
+                && now.maxMillisSince(sent) < PROOF_VALID_MILLIS;
     }
 
     /**
--- a/node/src/main/java/io/cardamomshelf/node/event/NodeEvent.java
+++ b/node/src/main/java/io/cardamomshelf/node/event/NodeEvent.java
@@ -66,6 +66,11 @@
     /** It is certain again that no other scheduler has been elected. */
     TENURE_PROVEN(
             3008, "The store or most workers confirm again that this process is the scheduler."),
+    /** A worker has seen a higher fencing token than the scheduler's. */
+    TOKEN_REFUSED(
+            3009,
+            "A worker has seen a higher fencing token; it isn't called again before it restarts,"
+                    + " and the term has to be proven."),
     /** A call was not successful. */
     CALL_REFUSED(4001, "A call was not successful; the line gives the reason."),
     /** An answer could not be delivered. */
--- a/node/src/main/java/io/cardamomshelf/node/schedule/OrderSender.java
+++ b/node/src/main/java/io/cardamomshelf/node/schedule/OrderSender.java
@@ -46,9 +46,12 @@
         /** Records the worker's clock, if the answer to a call has it. */
         void observeClock(OptionalLong workerClockMillis, SentCall call);
 
-        /** Ends the term, as the worker has refused its fencing token. */
+        /** Records that the worker has refused the scheduler's fencing token. */
         void fenced();
 
+        /** Returns whether its current incarnation has refused the fencing token. */
+        boolean isFenced();
+
         /** Handles the answer of another incarnation to a start. */
         void otherIncarnationAnsweredStart();
 
@@ -103,7 +106,7 @@
     }
 
     private void stop(Order.Stop stop, int attempt) {
-        if (worker.isClosed()) {
+        if (worker.isClosed() || worker.isFenced()) {
             return;
         }
         SentCall call = new SentCall(worker.bornMillis(), clock.monotonicMillis());
@@ -116,8 +119,8 @@
         if (worker.isClosed()) {
             return;
         }
-        if (!leaseClock.hasObservation()) {
-            // The worker has restarted, and its new clock isn't known yet.
+        if (!leaseClock.hasObservation() || worker.isFenced()) {
+            // It has restarted, and its new clock isn't known yet, or it would refuse the start.
             state.handleStartOutcome(start, outcome(attempt, Answer.REFUSED), clock.now());
             return;
         }
@@ -137,10 +140,6 @@
             leaseClock.callAnswered(call.sentMillis());
         }
         worker.observeClock(reply.clockMillis(), call);
-        if (reply.answer() == Answer.FENCED) {
-            worker.fenced();
-            return;
-        }
         if (reply.answer() != Answer.DONE) {
             logStartFailure(start, attempt, reply);
         }
@@ -151,6 +150,8 @@
         state.handleStartOutcome(start, outcome(attempt, reply.answer()), clock.now());
         if (reply.answer() == Answer.OTHER_INCARNATION) {
             worker.otherIncarnationAnsweredStart();
+        } else if (reply.answer() == Answer.FENCED) {
+            worker.fenced();
         }
         worker.stateChanged();
         worker.renewIfNeeded();
--- a/node/src/main/java/io/cardamomshelf/node/schedule/SchedulerTerm.java
+++ b/node/src/main/java/io/cardamomshelf/node/schedule/SchedulerTerm.java
@@ -5,7 +5,6 @@
 import io.cardamomshelf.core.base.WorkerId;
 import io.cardamomshelf.core.schedule.ClockReading;
 import io.cardamomshelf.core.schedule.FleetLoad;
-import io.cardamomshelf.core.schedule.LeaseClock;
 import io.cardamomshelf.core.schedule.Order;
 import io.cardamomshelf.core.schedule.SchedulerState;
 import io.cardamomshelf.core.schedule.Voters;
@@ -24,10 +23,8 @@
 import io.cardamomshelf.node.store.WorkersView;
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.Set;
 import java.util.stream.Collectors;
 
@@ -41,7 +38,7 @@
  *
  * <p>Not thread-safe: belongs to the instance's event loop.
  */
-final class SchedulerTerm implements WorkerLink.Callbacks {
+final class SchedulerTerm implements LinkOwner {
 
     /** Run numbers reserved for each epoch, so that they rise from one scheduler to the next. */
     private static final long RUNS_PER_EPOCH = 1_000_000;
@@ -61,19 +58,19 @@
     private final SchedulerState state;
     private final AdviceFetcher adviceFetcher;
     private final RosterWriter rosterWriter;
-    private final Map<WorkerId, WorkerLink> links = new LinkedHashMap<>();
+    private final FenceRefusals fenceRefusals;
+    private final WorkerLinks links;
 
     private final JobRetention retention;
     private final RoundReporter roundReporter;
     private final JobReporter jobReporter;
+
     private boolean roundDue;
     private boolean heartbeatInFlight;
     private boolean retired;
     private boolean takingOver = true;
     private boolean granting = true;
 
-    private LeaseClocks leaseClocks;
-
     /** The workers that earlier schedulers have stored. */
     private Voters inheritedVoters = Voters.of(Set.of());
 
@@ -91,9 +88,11 @@
         this.workers = workers;
         this.onDeposed = onDeposed;
         this.state = new SchedulerState(context.epoch() * RUNS_PER_EPOCH);
+        this.links = new WorkerLinks(context, state, workers, this);
         this.adviceFetcher = new AdviceFetcher(context, state, this::stateChanged);
         this.roundReporter = new RoundReporter(context, state, jobs);
         this.jobReporter = new JobReporter(context.metrics(), state::rackOf);
+        this.fenceRefusals = new FenceRefusals(context, this::endFenced);
         this.retention = new JobRetention(jobs, context.settings().stateKeptMillis());
         this.rosterWriter = new RosterWriter(appender, state, this::stateChanged);
     }
@@ -101,12 +100,6 @@
     /** Loads the stored jobs and workers, and starts rounds and calls to workers. */
     void begin() {
         configure();
-        leaseClocks =
-                LeaseClocks.of(
-                        epoch(),
-                        context.leaderLease(),
-                        context.settings(),
-                        context.clock().monotonicMillis());
         rosterWriter.load(jobs.roster());
         inheritedVoters = rosterWriter.voters();
         for (JobsView.Entry entry : jobs.acceptedJobs()) {
@@ -115,16 +108,9 @@
             }
             jobChanged(entry);
         }
-        workers.registered().forEach(this::addInheritedWorker);
-        for (WorkerInfo info : jobs.roster().workers()) {
-            if (!links.containsKey(info.id())) {
-                // No longer registered, but may have runs: it is called, and gets no new runs.
-                addInheritedWorker(info);
-                state.removeWorker(info.id());
-            }
-        }
+        links.begin(jobs.roster());
         state.endInheritance();
-        links.values().forEach(WorkerLink::renewIfNeeded);
+        links.renewIfNeeded();
         tick();
         scheduleCleanup();
     }
@@ -133,7 +119,7 @@
     void retire() {
         retired = true;
         adviceFetcher.close();
-        links.values().forEach(WorkerLink::close);
+        links.close();
     }
 
     /** Ends the term. Records that aren't stored yet are discarded. */
@@ -176,6 +162,7 @@
         if (entry.job().isEmpty() || entry.progress().state().isEnded()) {
             return;
         }
+        links.useService(entry.job().get().queue().service());
         state.addJob(entry.job().get(), entry.storedProgress());
         if (entry.isCancelled()) {
             state.cancel(entry.job().get().id());
@@ -184,12 +171,11 @@
     }
 
     void workerRegistered(WorkerInfo info) {
-        addWorker(info, leaseClocks.ofNewWorker(startedMillis(info)));
-        links.get(info.id()).renewIfNeeded();
+        links.workerRegistered(info);
     }
 
     void workerUnregistered(WorkerId id) {
-        Optional.ofNullable(links.get(id)).ifPresent(WorkerLink::entryRemoved);
+        links.workerUnregistered(id);
         state.removeWorker(id);
         EventLog.of(NodeEvent.WORKER_UNLISTED).with("worker", id).write();
         rosterWriter.dropUnregistered(registeredWorkers());
@@ -224,10 +210,16 @@
 
     @Override
     public void fenced(WorkerInfo worker) {
+        if (!retired) {
+            fenceRefusals.record(worker);
+        }
+    }
+
+    private void endFenced() {
         if (!retired) {
             EventLog.of(NodeEvent.LEADERSHIP_LOST)
                     .with("epoch", epoch())
-                    .with("cause", "worker " + worker.id() + " has seen a higher fencing token")
+                    .with("cause", "several workers have seen a higher fencing token")
                     .write();
             onDeposed.run();
         }
@@ -242,7 +234,7 @@
         stateChanged();
         context.leaderLease().updateMajority(context.clock().now(), inheritedVoters);
         if (context.leaderLease().needsWorkerAnswers(context.clock().now())) {
-            links.values().forEach(WorkerLink::renewIfNeeded);
+            links.renewIfNeeded();
         }
     }
 
@@ -260,7 +252,10 @@
 
     private void configure(Configuration configuration) {
         Map<String, QueuePolicy> queues = new HashMap<>();
-        configuration.routes().forEach(route -> queues.put(route.policy().name(), route.policy()));
+        for (Configuration.Route route : configuration.routes()) {
+            queues.put(route.policy().name(), route.policy());
+            links.useService(route.policy().service());
+        }
         Map<OrganisationId, Integer> guarantees = new HashMap<>();
         configuration
                 .organisations()
@@ -272,28 +267,6 @@
         stateChanged();
     }
 
-    private void addInheritedWorker(WorkerInfo info) {
-        addWorker(info, leaseClocks.ofInheritedWorker(startedMillis(info)));
-    }
-
-    /** Returns when the incarnation of an entry had started at the latest. */
-    private long startedMillis(WorkerInfo info) {
-        return jobs.roster().isStoredWithOtherIncarnation(info)
-                ? context.clock().monotonicMillis()
-                : context.restarts().startedMillis(info.id());
-    }
-
-    /** Adds a worker with the given clock, or updates one that has a link. */
-    private void addWorker(WorkerInfo info, LeaseClock leaseClock) {
-        WorkerLink link = links.get(info.id());
-        if (link != null) {
-            link.entryRead(info);
-            return;
-        }
-        links.put(info.id(), new WorkerLink(context, state, this, info, leaseClock));
-        entryConfirmed(info, true);
-    }
-
     @Override
     public void entryConfirmed(WorkerInfo entry, boolean isFirst) {
         if (isFirst) {
@@ -346,7 +319,7 @@
     }
 
     private void sendOrder(Order order) {
-        WorkerLink link = links.get(order.worker());
+        WorkerLink link = links.link(order.worker());
         if (order instanceof Order.Start start) {
             EventLog.of(NodeEvent.RUN_ORDERED)
                     .with("task", start.task())
@@ -394,7 +367,7 @@
                 () -> {
                     progress.forEach(this::confirmProgressStored);
                     stateChanged();
-                    newEnds.forEach(ends -> links.get(ends.worker()).confirmEndsStored(ends));
+                    newEnds.forEach(ends -> links.link(ends.worker()).confirmEndsStored(ends));
                 });
     }
 
--- a/node/src/main/java/io/cardamomshelf/node/schedule/WorkerLink.java
+++ b/node/src/main/java/io/cardamomshelf/node/schedule/WorkerLink.java
@@ -1,6 +1,5 @@
 package io.cardamomshelf.node.schedule;
 
-import io.cardamomshelf.core.base.WorkerId;
 import io.cardamomshelf.core.schedule.ClockReading;
 import io.cardamomshelf.core.schedule.LeaderLease;
 import io.cardamomshelf.core.schedule.LeaseClock;
@@ -29,34 +28,6 @@
  */
 final class WorkerLink implements OrderSender.Worker {
 
-    /** What a link needs from the scheduler term that owns it. */
-    interface Callbacks {
-
-        /** Requests a scheduling round after a change of the scheduler state. */
-        void stateChanged();
-
-        /** Ends the term, as the worker has refused its fencing token. */
-        void fenced(WorkerInfo worker);
-
-        /**
-         * Removes the worker's runs from the state, as none of them can still be running, but for
-         * those whose start got no answer at the given time or later, on the monotonic clock.
-         */
-        void workerLost(WorkerId worker, long unansweredBeforeMillis);
-
-        /**
-         * Uses an entry of the worker's current incarnation; {@code isFirst} tells whether it is
-         * the first one of that incarnation.
-         */
-        void entryConfirmed(WorkerInfo entry, boolean isFirst);
-
-        /** Returns whether leases may be granted now. */
-        boolean mayGrant();
-
-        /** Returns whether no earlier scheduler's grants can still be in force. */
-        boolean havePredecessorLeasesLapsed();
-    }
-
     /** How long a worker may wait for the end of a run before it answers, in milliseconds. */
     private static final long MAX_WAIT_MILLIS = 1_000;
 
@@ -77,7 +48,7 @@
     private final WorkerOrders orders;
     private final SchedulerState state;
     private final Clock clock;
-    private final Callbacks callbacks;
+    private final LinkOwner owner;
     private final long token;
     private final long leaseMillis;
 
@@ -102,13 +73,14 @@
     private final AnswerTimeout answerTimeout = new AnswerTimeout();
     private int consecutiveFailures;
     private boolean answered;
+    private OptionalLong fencedBornMillis = OptionalLong.empty();
     private boolean renewalInFlight;
     private boolean closed;
 
     WorkerLink(
             SchedulerTermContext context,
             SchedulerState state,
-            Callbacks callbacks,
+            LinkOwner owner,
             WorkerInfo info,
             LeaseClock leaseClock) {
         this.pause = new Pause(context.timers(), this::renewIfNeeded);
@@ -118,7 +90,7 @@
         this.leaseMillis = context.settings().leaseMillis();
         this.worstLeaseMillis = LeaseClock.worstCaseMillis(context.settings().maxLeaseMillis());
         this.state = state;
-        this.callbacks = callbacks;
+        this.owner = owner;
         this.info = info;
         this.incarnations = new Incarnations(info.bornMillis());
         this.acknowledgements = new EndAcknowledgements(info.bornMillis());
@@ -169,7 +141,7 @@
 
     private void useEntry(WorkerInfo entry, boolean isFirst) {
         info = entry;
-        callbacks.entryConfirmed(entry, isFirst);
+        owner.entryConfirmed(entry, isFirst);
     }
 
     void close() {
@@ -186,7 +158,13 @@
     /** Sends a renewal if one is needed and none is in flight. */
     @Override
     public void renewIfNeeded() {
-        if (!renewalInFlight && !pause.isActive() && !closed && needsRenewal()) {
+        if (renewalInFlight || pause.isActive() || closed || !needsRenewal()) {
+            return;
+        }
+        if (isFenced()) {
+            declareLostOnceLeasesLapsed();
+            pause.begin(RETRY_PAUSE_MILLIS);
+        } else {
             renew();
         }
     }
@@ -209,14 +187,27 @@
         return closed;
     }
 
+    /**
+     * Gives up the worker's current incarnation. It would refuse all further calls of this term, so
+     * it isn't called again before it restarts, and its runs end with their leases.
+     */
     @Override
     public void fenced() {
-        callbacks.fenced(info);
+        consecutiveFailures++;
+        fencedBornMillis = OptionalLong.of(info.bornMillis());
+        state.setUnresponsive(info.id(), true);
+        owner.fenced(info);
+        renewIfNeeded();
+    }
+
+    @Override
+    public boolean isFenced() {
+        return fencedBornMillis.isPresent() && incarnations.isCurrent(fencedBornMillis.getAsLong());
     }
 
     @Override
     public boolean mayGrant() {
-        return callbacks.mayGrant() && !incarnations.isUndecided();
+        return owner.mayGrant() && !incarnations.isUndecided();
     }
 
     @Override
@@ -228,7 +219,7 @@
 
     @Override
     public void stateChanged() {
-        callbacks.stateChanged();
+        owner.stateChanged();
     }
 
     private boolean needsRenewal() {
@@ -305,7 +296,7 @@
                 boolean leftOut = renewal.acknowledgement().isPresent() && acknowledgedEnd == 0;
                 listsReceived(reply, sentMillis, leftOut);
             }
-            case FENCED -> callbacks.fenced(info);
+            case FENCED -> fenced();
             case OTHER_INCARNATION -> otherIncarnationAnswered();
             default -> renewalFailed(reply);
         }
@@ -346,11 +337,11 @@
         if (incarnations.isUndecided()) {
             state.workerReports().require(info.id());
         }
-        callbacks.stateChanged();
+        owner.stateChanged();
         if (acknowledgementLeftOut || acknowledgements.hasUnstored(lastEndNumber())) {
             pause.begin(UNACKNOWLEDGED_ENDS_PAUSE_MILLIS);
         } else if (leaderLease.needsWorkerAnswers(clock.now())
-                && !(callbacks.mayGrant() && mayHaveRuns())) {
+                && !(owner.mayGrant() && mayHaveRuns())) {
             pause.begin(NO_GRANT_PAUSE_MILLIS);
         } else {
             renewIfNeeded();
@@ -365,18 +356,24 @@
             state.setUnresponsive(info.id(), true);
             events.silent(reply);
         }
-        if (consecutiveFailures >= UNRESPONSIVE_AFTER_FAILURES && haveLeasesLapsed()) {
+        if (consecutiveFailures >= UNRESPONSIVE_AFTER_FAILURES) {
+            declareLostOnceLeasesLapsed();
+        }
+        pause.begin(RETRY_PAUSE_MILLIS);
+    }
+
+    private void declareLostOnceLeasesLapsed() {
+        if (haveLeasesLapsed()) {
             declareRunsLost("its leases have lapsed", clock.monotonicMillis() - worstLeaseMillis);
         }
         useAnnouncedEntryIfIdle();
-        pause.begin(RETRY_PAUSE_MILLIS);
     }
 
     private void declareRunsLost(String cause, long unansweredBeforeMillis) {
         if (mayHaveRuns()) {
             events.lost(cause);
         }
-        callbacks.workerLost(info.id(), unansweredBeforeMillis);
+        owner.workerLost(info.id(), unansweredBeforeMillis);
         if (!state.isWorkerKnown(info.id())) {
             resetRenewalState();
         }
@@ -396,7 +393,7 @@
     /** Returns whether the leases had lapsed before a successor could renew them. */
     private boolean haveLeasesLapsed() {
         return leaseClock.haveLeasesLapsed(leaderLease.provenMillis())
-                && callbacks.havePredecessorLeasesLapsed();
+                && owner.havePredecessorLeasesLapsed();
     }
 
     @Override
--- a/node/src/test/java/io/cardamomshelf/node/schedule/SchedulingFixture.java
+++ b/node/src/test/java/io/cardamomshelf/node/schedule/SchedulingFixture.java
@@ -61,12 +61,20 @@
 
         @Override
         public OperatorFact operatorFact(StoredRecord record) {
-            Configuration.Route route = new Configuration.Route("h", "/p/", false, 3_000, QUEUE);
+            List<Configuration.Route> routes =
+                    queues.stream()
+                            .map(queue -> new Configuration.Route("h", "/p/", false, 3_000, queue))
+                            .toList();
             return new OperatorFact.Configured(
-                    new Configuration(
-                            1, List.of(route), List.of(), new Configuration.Limits(1_000)));
+                    new Configuration(1, routes, List.of(), new Configuration.Limits(1_000)));
         }
 
+        /** The queues in the configuration that is read next. */
+        private List<QueuePolicy> queues = List.of(QUEUE);
+
+        /** The service in each worker's entry. */
+        private Function<WorkerId, String> workerService = id -> QUEUE.service();
+
         /** The clock that each worker reports in its entry, in milliseconds; 0 for none. */
         private ToLongFunction<WorkerId> workerClockMillis = id -> 0;
 
@@ -79,7 +87,7 @@
                     new WorkerInfo(
                             WorkerId.of(record.key()),
                             Long.parseLong(new String(record.value(), StandardCharsets.UTF_8)),
-                            "rota",
+                            workerService.apply(WorkerId.of(record.key())),
                             workerEndpoint.apply(WorkerId.of(record.key())),
                             DataCentreId.of("jhb-a"),
                             "r1-1",
@@ -193,6 +201,18 @@
         decoder.workerEndpoint = id -> workers.movedTo.getOrDefault(id, UNUSED_ENDPOINT);
     }
 
+    /** Makes the entries of some workers name another service. */
+    void reportService(String service, String... names) {
+        decoder.workerService =
+                id -> List.of(names).contains(id.value()) ? service : QUEUE.service();
+    }
+
+    /** Stores a configuration with these queues. */
+    void configure(QueuePolicy... queues) {
+        decoder.queues = List.of(queues);
+        store.write(Stream.OPERATORS, record("config"));
+    }
+
     private NodeSettings settings(String name, double cores) {
         return new NodeSettings(
                 name,
@@ -239,6 +259,10 @@
     }
 
     void submit(JobId id, int count, int accelerators, boolean gang) {
+        submit(id, QUEUE, count, accelerators, gang);
+    }
+
+    void submit(JobId id, QueuePolicy queue, int count, int accelerators, boolean gang) {
         StepSpec step =
                 new StepSpec(
                         count,
@@ -263,7 +287,7 @@
                         new TaskJob(
                                 id,
                                 OrganisationId.of("circle"),
-                                QUEUE,
+                                queue,
                                 time.now().wallMillis(),
                                 new JobRequest("spec", List.of(step), 0, 0, 0))));
     }
