Bound a progress record by what is still open of its job

Cause: the record named each done step of each occurrence, 52 bytes a step. Past the store's limit each append of it was refused, repeated for ever, and heartbeats waited behind it.

Why it works: done occurrences are a number and exceptions, done steps of open ones are bits. An append holds only as much as the store takes. A record that can't be taken is never sent; its job ends as failed and all else goes on.

--- a/core/src/main/java/io/cardamomshelf/core/schedule/LiveJob.java
+++ b/core/src/main/java/io/cardamomshelf/core/schedule/LiveJob.java
@@ -1,6 +1,7 @@
 package io.cardamomshelf.core.schedule;
 
 import io.cardamomshelf.core.base.WorkerId;
+import io.cardamomshelf.core.task.CompletedSteps;
 import io.cardamomshelf.core.task.JobProgress;
 import io.cardamomshelf.core.task.JobState;
 import io.cardamomshelf.core.task.QueuePolicy;
@@ -27,8 +28,12 @@
 
     private final TaskJob job;
     private final HostIntents hostIntents;
+
+    /** The groups that aren't done, and those that are and still have runs. */
     private final Map<GroupKey, TaskGroup> groups = new TreeMap<>();
 
+    private final StepCompletion completion;
+
     /** The stored progress of steps whose groups haven't been created yet. */
     private final Map<GroupKey, StepProgress> restoredSteps = new TreeMap<>();
 
@@ -44,8 +49,13 @@
         this.job = job;
         this.state = progress.state();
         this.hostIntents = new HostIntents(storedProgress.map(JobProgress::hosts), inherited);
+        this.completion = new StepCompletion(job.request().steps().size(), progress.completed());
         for (StepProgress step : progress.steps()) {
-            restoredSteps.put(new GroupKey(step.occurrence(), step.step()), step);
+            if (step.done().cardinality() == job.request().steps().get(step.step()).count()) {
+                completion.markDone(step.occurrence(), step.step());
+            } else {
+                restoredSteps.put(new GroupKey(step.occurrence(), step.step()), step);
+            }
         }
     }
 
@@ -87,15 +97,15 @@
     /** The groups whose due time and earlier steps allow a start; creates missing ones. */
     List<TaskGroup> readyGroups(long wallMillis) {
         List<TaskGroup> ready = new ArrayList<>();
-        for (int occurrence = 0; occurrence < job.request().occurrences(); occurrence++) {
-            if (job.request().dueMillis(occurrence) > wallMillis) {
-                break;
-            }
+        int occurrence = completion.nextOpen(0);
+        while (occurrence < job.request().occurrences()
+                && job.request().dueMillis(occurrence) <= wallMillis) {
             for (int step = 0; step < job.request().steps().size(); step++) {
-                if (areEarlierStepsDone(occurrence, step)) {
+                if (!isStepDone(occurrence, step) && areEarlierStepsDone(occurrence, step)) {
                     ready.add(findOrCreateGroup(occurrence, step, wallMillis));
                 }
             }
+            occurrence = completion.nextOpen(occurrence + 1);
         }
         return ready;
     }
@@ -123,7 +133,9 @@
     }
 
     boolean isDone() {
-        for (int occurrence = 0; occurrence < job.request().occurrences(); occurrence++) {
+        for (int occurrence = completion.nextOpen(0);
+                occurrence < job.request().occurrences();
+                occurrence = completion.nextOpen(occurrence + 1)) {
             for (int step = 0; step < job.request().steps().size(); step++) {
                 if (!isStepDone(occurrence, step)) {
                     return false;
@@ -133,22 +145,40 @@
         return true;
     }
 
-    /** Returns the progress to store, which counts as in flight from now on. */
+    /**
+     * Returns the progress to store, which counts as in flight from now on. The record of an ended
+     * job has no steps, as none of them starts again.
+     */
     JobProgress nextRecord() {
-        Map<GroupKey, StepProgress> steps = new TreeMap<>(restoredSteps);
-        groups.forEach(
-                (key, group) -> {
-                    if (group.hasProgress()) {
-                        steps.put(key, group.progress());
-                    }
-                });
+        completeDoneGroups();
+        List<StepProgress> steps = new ArrayList<>();
+        if (!isEnded()) {
+            steps.addAll(restoredSteps.values());
+            groups.values().stream()
+                    .filter(group -> !group.isDone() && group.hasProgress())
+                    .forEach(group -> steps.add(group.progress()));
+        }
         List<WorkerId> runningWorkers =
                 groups.values().stream()
                         .flatMap(group -> group.runs().stream())
                         .map(run -> run.worker.id())
                         .toList();
         return new JobProgress(
-                state, List.copyOf(steps.values()), hostIntents.nextRecord(runningWorkers));
+                state,
+                steps,
+                hostIntents.nextRecord(runningWorkers),
+                isEnded() ? CompletedSteps.NONE : completion.toRecord());
+    }
+
+    /** Keeps only the mark of groups that are done and have no runs any more. */
+    private void completeDoneGroups() {
+        groups.forEach(
+                (key, group) -> {
+                    if (group.isDone()) {
+                        completion.markDone(key.occurrence(), key.step());
+                    }
+                });
+        groups.values().removeIf(group -> group.isDone() && group.runs().isEmpty());
     }
 
     /** The accelerators that its widest step needs at once. */
@@ -165,14 +195,8 @@
     }
 
     private boolean isStepDone(int occurrence, int step) {
-        GroupKey key = new GroupKey(occurrence, step);
-        TaskGroup group = groups.get(key);
-        if (group != null) {
-            return group.isDone();
-        }
-        StepProgress progress = restoredSteps.get(key);
-        int count = job.request().steps().get(step).count();
-        return progress != null && progress.done().cardinality() == count;
+        TaskGroup group = groups.get(new GroupKey(occurrence, step));
+        return group != null ? group.isDone() : completion.isDone(occurrence, step);
     }
 
     private TaskGroup findOrCreateGroup(int occurrence, int step, long wallMillis) {
@@ -184,6 +208,9 @@
                     if (progress != null) {
                         group.restore(progress);
                     }
+                    if (completion.isDone(occurrence, step)) {
+                        group.restoreAsDone();
+                    }
                     return group;
                 });
     }
--- a/core/src/main/java/io/cardamomshelf/core/schedule/LiveJobTable.java
+++ b/core/src/main/java/io/cardamomshelf/core/schedule/LiveJobTable.java
@@ -46,12 +46,13 @@
         return job.policy(queues);
     }
 
-    boolean cancel(JobId id) {
+    /** Ends a job; returns false if it isn't known or had ended. */
+    boolean end(JobId id, JobState end) {
         LiveJob job = jobs.get(id);
         if (job == null || job.isEnded()) {
             return false;
         }
-        end(job, JobState.CANCELLED);
+        end(job, end);
         return true;
     }
 
--- a/core/src/main/java/io/cardamomshelf/core/schedule/SchedulerState.java
+++ b/core/src/main/java/io/cardamomshelf/core/schedule/SchedulerState.java
@@ -5,6 +5,7 @@
 import io.cardamomshelf.core.base.OrganisationId;
 import io.cardamomshelf.core.base.WorkerId;
 import io.cardamomshelf.core.task.JobProgress;
+import io.cardamomshelf.core.task.JobState;
 import io.cardamomshelf.core.task.QueuePolicy;
 import io.cardamomshelf.core.task.TaskJob;
 import java.util.ArrayList;
@@ -26,16 +27,6 @@
  */
 public final class SchedulerState {
 
-    /** The outcome of a start, as far as the answer shows it. */
-    public enum StartOutcome {
-        /** The worker has the run. */
-        STARTED,
-        /** The worker has refused the run and will never execute it. */
-        REFUSED,
-        /** There was no answer; the worker may have the run, or may still receive it. */
-        UNKNOWN
-    }
-
     /** How long preemption waits for workers to report after a takeover, in milliseconds. */
     private static final long TAKEOVER_GRACE_MILLIS = 600;
 
@@ -103,8 +94,7 @@
     }
 
     /**
-     * Records that a job's oldest progress record in flight was stored, so that a later scheduler
-     * knows where the job may have runs.
+     * Records that a job's oldest progress record in flight was stored.
      *
      * @param id the job, not null
      */
@@ -119,7 +109,16 @@
      * @return true if the job is known, hadn't ended and is cancelled now
      */
     public boolean cancel(JobId id) {
-        return jobs.cancel(id);
+        return jobs.end(id, JobState.CANCELLED);
+    }
+
+    /**
+     * Ends a job that can't go on as failed.
+     *
+     * @param id the job, not null
+     */
+    public void fail(JobId id) {
+        jobs.end(id, JobState.FAILED);
     }
 
     /**
--- a/core/src/main/java/io/cardamomshelf/core/schedule/TaskGroup.java
+++ b/core/src/main/java/io/cardamomshelf/core/schedule/TaskGroup.java
@@ -247,6 +247,11 @@
         checkpoints.putAll(progress.checkpoints());
     }
 
+    /** Restores a group whose step is done, as a late report names one of its tasks. */
+    void restoreAsDone() {
+        doneTasks.set(0, spec.count());
+    }
+
     private void markDone(int index) {
         if (spec.gang()) {
             doneTasks.set(0, spec.count());
--- a/core/src/main/java/io/cardamomshelf/core/task/JobProgress.java
+++ b/core/src/main/java/io/cardamomshelf/core/task/JobProgress.java
@@ -13,11 +13,14 @@
  * <p>Immutable and thread-safe.
  *
  * @param state the state that callers see, not null
- * @param steps the progress of the steps that have ended runs, not null
+ * @param steps the progress of the steps that have ended runs and aren't done, not null
  * @param hosts the workers that may have runs; null, as in older records without this field, means
  *     any worker
+ * @param completed the steps that are done; null, as in older records without this field, means
+ *     that {@code steps} has those, too
  */
-public record JobProgress(JobState state, List<StepProgress> steps, RunHosts hosts) {
+public record JobProgress(
+        JobState state, List<StepProgress> steps, RunHosts hosts, CompletedSteps completed) {
 
     /** The progress of an accepted job that has not started. */
     public static final JobProgress QUEUED =
@@ -32,5 +35,17 @@
         Checks.notNull("state", state);
         steps = List.copyOf(steps);
         hosts = hosts == null ? RunHosts.ANYWHERE : hosts;
+        completed = completed == null ? CompletedSteps.NONE : completed;
+    }
+
+    /**
+     * Creates the progress of a job of which no step is done.
+     *
+     * @param state the state that callers see, not null
+     * @param steps the progress of the steps that have ended runs, not null
+     * @param hosts the workers that may have runs; null means any worker
+     */
+    public JobProgress(JobState state, List<StepProgress> steps, RunHosts hosts) {
+        this(state, steps, hosts, CompletedSteps.NONE);
     }
 }
--- a/core/src/test/java/io/cardamomshelf/core/schedule/RestartedWorkerTest.java
+++ b/core/src/test/java/io/cardamomshelf/core/schedule/RestartedWorkerTest.java
@@ -121,8 +121,7 @@
         @Test
         void isSentTheStopOfAnUnansweredStartAgain() {
             Order.Start start = startOnOnlyWorker();
-            fixture.state.handleStartOutcome(
-                    start, SchedulerState.StartOutcome.UNKNOWN, fixture.now());
+            fixture.state.handleStartOutcome(start, StartOutcome.UNKNOWN, fixture.now());
             fixture.state.confirmStopOrder(fixture.decideStops().get(0), fixture.now());
             fixture.restartWorker("w1");
             List<Order> orders = fixture.decide();
--- a/core/src/test/java/io/cardamomshelf/core/schedule/SchedulerFixture.java
+++ b/core/src/test/java/io/cardamomshelf/core/schedule/SchedulerFixture.java
@@ -256,7 +256,7 @@
     }
 
     void confirmStart(Order.Start start) {
-        state.handleStartOutcome(start, SchedulerState.StartOutcome.STARTED, now());
+        state.handleStartOutcome(start, StartOutcome.STARTED, now());
     }
 
     /** Reports the runs of a worker, in a list that was requested after all earlier answers. */
--- a/core/src/test/java/io/cardamomshelf/core/schedule/SchedulerStateTest.java
+++ b/core/src/test/java/io/cardamomshelf/core/schedule/SchedulerStateTest.java
@@ -84,8 +84,7 @@
             fixture.state.endInheritance();
             fixture.addIdleWorker("w1", "r1-1").submit(1, 1, step(1, 52_000, 270_000, 8));
             Order.Start start = fixture.decideStarts().get(0);
-            fixture.state.handleStartOutcome(
-                    start, SchedulerState.StartOutcome.UNKNOWN, fixture.now());
+            fixture.state.handleStartOutcome(start, StartOutcome.UNKNOWN, fixture.now());
             fixture.report("w1");
             Order.Stop stop = fixture.decideStops().get(0);
             fixture.report("w1");
@@ -128,8 +127,7 @@
             fixture.submit(1, 1, step(2, 52_000, 270_000, 8).gang());
             List<Order.Start> starts = fixture.decideStarts();
             fixture.confirmStart(starts.get(0));
-            fixture.state.handleStartOutcome(
-                    starts.get(1), SchedulerState.StartOutcome.REFUSED, fixture.now());
+            fixture.state.handleStartOutcome(starts.get(1), StartOutcome.REFUSED, fixture.now());
             Order.Stop stop = fixture.decideStops().get(0);
             assertEquals(starts.get(0).task(), stop.task());
             fixture.advanceClock(1_000).reportEnd(starts.get(0), RunEnd.STOPPED);
--- a/core/src/test/java/io/cardamomshelf/core/schedule/SimulatedWorkers.java
+++ b/core/src/test/java/io/cardamomshelf/core/schedule/SimulatedWorkers.java
@@ -93,7 +93,7 @@
     void carryOut(Order order, ClockReading now) {
         if (order instanceof Order.Start start) {
             active.get(start.worker()).add(new ActiveRun(start, workOf.apply(start.task().job())));
-            state.handleStartOutcome(start, SchedulerState.StartOutcome.STARTED, now);
+            state.handleStartOutcome(start, StartOutcome.STARTED, now);
         } else if (order instanceof Order.Stop stop) {
             active.get(stop.worker()).stream()
                     .filter(run -> run.start.task().equals(stop.task()))
--- a/node/src/main/java/io/cardamomshelf/node/event/NodeEvent.java
+++ b/node/src/main/java/io/cardamomshelf/node/event/NodeEvent.java
@@ -44,6 +44,11 @@
     STORE_RELOADED(2103, "The newest record of each key was read, at the start or after a gap."),
     /** An attempt to append failed. */
     APPEND_FAILED(2104, "An append was refused or got no answer; the line gives the outcome."),
+    /** A job's progress is longer than the store takes. */
+    RECORD_TOO_LONG(
+            2105,
+            "A job's progress is longer than the store takes, so the job ends as failed; the line"
+                    + " gives the size."),
     /** This process was elected. */
     LEADERSHIP_WON(3001, "This process is the scheduler."),
     /** This process ran for election and wasn't elected. */
--- a/node/src/main/java/io/cardamomshelf/node/metric/MeteredStore.java
+++ b/node/src/main/java/io/cardamomshelf/node/metric/MeteredStore.java
@@ -34,6 +34,11 @@
         this.clock = clock;
     }
 
+    @Override
+    public Limits limits() {
+        return store.limits();
+    }
+
     @Override
     public Uni<AppendOutcome> append(
             List<StoredRecord> records, Optional<Writer> writer, long timeoutMillis) {
--- a/node/src/main/java/io/cardamomshelf/node/port/KeyedStore.java
+++ b/node/src/main/java/io/cardamomshelf/node/port/KeyedStore.java
@@ -31,6 +31,14 @@
      */
     record Writer(long epoch, long sequence) {}
 
+    /**
+     * The most that the store takes; longer records or appends are refused each time.
+     *
+     * @param recordBytes the maximum size of a record, in bytes
+     * @param appendBytes the maximum size of the records of one append, in bytes
+     */
+    record Limits(int recordBytes, int appendBytes) {}
+
     /**
      * The result of a read: records in the order of their positions.
      *
@@ -48,6 +56,13 @@
      */
     record NewestPage(List<StoredRecord> records, boolean isLast, long end) {}
 
+    /**
+     * Returns the limits of appends.
+     *
+     * @return the limits, never null
+     */
+    Limits limits();
+
     /**
      * Appends all or none of some records to the stream of jobs.
      *
--- a/node/src/main/java/io/cardamomshelf/node/port/StoredRecord.java
+++ b/node/src/main/java/io/cardamomshelf/node/port/StoredRecord.java
@@ -1,6 +1,7 @@
 package io.cardamomshelf.node.port;
 
 import io.cardamomshelf.core.base.Checks;
+import java.nio.charset.StandardCharsets;
 
 /**
  * A record of the store: a key with its value, or with no value if the key was deleted.
@@ -48,6 +49,15 @@
         return of(key, new byte[0]);
     }
 
+    /**
+     * Returns the size that counts towards the store's limits.
+     *
+     * @return the bytes of the key and the value
+     */
+    public int sizeBytes() {
+        return key.getBytes(StandardCharsets.UTF_8).length + value.length;
+    }
+
     /**
      * Returns whether the record deletes its key.
      *
--- a/node/src/main/java/io/cardamomshelf/node/schedule/OrderSender.java
+++ b/node/src/main/java/io/cardamomshelf/node/schedule/OrderSender.java
@@ -3,6 +3,7 @@
 import io.cardamomshelf.core.schedule.LeaseClock;
 import io.cardamomshelf.core.schedule.Order;
 import io.cardamomshelf.core.schedule.SchedulerState;
+import io.cardamomshelf.core.schedule.StartOutcome;
 import io.cardamomshelf.node.Clock;
 import io.cardamomshelf.node.Timers;
 import io.cardamomshelf.node.event.EventLog;
@@ -172,14 +173,12 @@
     }
 
     /** A refusal is final only if no earlier attempt may still be carried out. */
-    private static SchedulerState.StartOutcome outcome(int attempt, Answer answer) {
+    private static StartOutcome outcome(int attempt, Answer answer) {
         if (answer == Answer.DONE) {
-            return SchedulerState.StartOutcome.STARTED;
+            return StartOutcome.STARTED;
         }
         boolean certainlyNotStarted = answer.isFromWorker() && attempt == 1;
-        return certainlyNotStarted
-                ? SchedulerState.StartOutcome.REFUSED
-                : SchedulerState.StartOutcome.UNKNOWN;
+        return certainlyNotStarted ? StartOutcome.REFUSED : StartOutcome.UNKNOWN;
     }
 
     private void logStartFailure(Order.Start start, int attempt, WorkerOrders.Reply reply) {
--- a/node/src/main/java/io/cardamomshelf/node/schedule/SchedulerCandidate.java
+++ b/node/src/main/java/io/cardamomshelf/node/schedule/SchedulerCandidate.java
@@ -395,6 +395,7 @@
                         metrics,
                         epoch,
                         new LeaderLease(candidacy.sentAt(), candidacy.predecessorsEnded()),
+                        store.limits(),
                         restarts);
         return new SchedulerTerm(context, appender, jobs, operators, workers, onDeposed);
     }
--- a/node/src/main/java/io/cardamomshelf/node/schedule/SchedulerTerm.java
+++ b/node/src/main/java/io/cardamomshelf/node/schedule/SchedulerTerm.java
@@ -23,6 +23,7 @@
 import io.cardamomshelf.node.store.WorkersView;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -355,7 +356,9 @@
 
     /** Stores changed progress, and only then acknowledges the ends of runs that led to it. */
     private void storeChanges() {
-        Map<JobId, JobProgress> progress = state.takeChangedProgress();
+        Map<JobId, JobProgress> progress = new LinkedHashMap<>(state.takeChangedProgress());
+        progress.forEach(this::failIfTooLong);
+        progress.putAll(state.takeChangedProgress());
         List<WorkerReports.ReceivedEnds> newEnds = state.workerReports().takeNewEnds();
         if (progress.isEmpty() && newEnds.isEmpty()) {
             return;
@@ -371,6 +374,20 @@
                 });
     }
 
+    /** Ends a job as failed whose progress the store can't take; that record is short. */
+    private void failIfTooLong(JobId id, JobProgress progress) {
+        int sizeBytes = JobRecords.progress(id, progress).sizeBytes();
+        int maxBytes = context.limits().recordBytes();
+        if (sizeBytes > maxBytes) {
+            EventLog.of(NodeEvent.RECORD_TOO_LONG)
+                    .with("job", id)
+                    .with("bytes", sizeBytes)
+                    .with("maxBytes", maxBytes)
+                    .write();
+            state.fail(id);
+        }
+    }
+
     private void append(List<StoredRecord> records, Runnable whenStored) {
         ClockReading sentAt = context.clock().now();
         appender.append(
--- a/node/src/main/java/io/cardamomshelf/node/schedule/SchedulerTermContext.java
+++ b/node/src/main/java/io/cardamomshelf/node/schedule/SchedulerTermContext.java
@@ -4,6 +4,7 @@
 import io.cardamomshelf.node.Clock;
 import io.cardamomshelf.node.Timers;
 import io.cardamomshelf.node.metric.ServiceMetrics;
+import io.cardamomshelf.node.port.KeyedStore;
 import io.cardamomshelf.node.port.PlacementAdvice;
 import io.cardamomshelf.node.port.WorkerOrders;
 
@@ -18,6 +19,7 @@
  * @param metrics the metrics to update
  * @param epoch the term's epoch, which is its fencing token
  * @param leaderLease decides whether leases may be granted
+ * @param limits the limits of the store
  * @param restarts the restarts of workers that this process has seen
  */
 record SchedulerTermContext(
@@ -29,4 +31,5 @@
         ServiceMetrics metrics,
         long epoch,
         LeaderLease leaderLease,
+        KeyedStore.Limits limits,
         ObservedRestarts restarts) {}
--- a/node/src/main/java/io/cardamomshelf/node/store/SchedulerAppender.java
+++ b/node/src/main/java/io/cardamomshelf/node/store/SchedulerAppender.java
@@ -7,7 +7,9 @@
 import io.cardamomshelf.node.port.KeyedStore;
 import io.cardamomshelf.node.port.KeyedStore.Writer;
 import io.cardamomshelf.node.port.StoredRecord;
+import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Deque;
 import java.util.List;
 import java.util.Optional;
 
@@ -16,9 +18,10 @@
  * is stored or the scheduler is deposed.
  *
  * <p>Use: the scheduler calls {@code append(records, whenStored)}. Records that are added while an
- * append is in flight are sent together in the next one. A repeat has the same sequence number, so
- * that the store doesn't store it twice. Its answer may be lost, so {@code recordRead} confirms an
- * append, too: no other process stores a scheduler's records during a term.
+ * append is in flight are sent together in the next ones, as many as the store takes at once. A
+ * repeat has the same sequence number, so that the store doesn't store it twice. Its answer may be
+ * lost, so {@code recordRead} confirms an append, too: no other process stores a scheduler's
+ * records during a term.
  *
  * <p>Not thread-safe: belongs to the instance's event loop.
  */
@@ -30,13 +33,15 @@
     /** The pause before an append is repeated, in milliseconds. */
     private static final long RETRY_MILLIS = 150;
 
+    /** A record to append, or a callback for when all records before it are stored. */
+    private record Queued(Optional<StoredRecord> record, Runnable whenStored) {}
+
     private final Timers timers;
     private final KeyedStore store;
     private final long epoch;
     private final Runnable onDeposed;
     private long sequence;
-    private List<StoredRecord> queued = new ArrayList<>();
-    private List<Runnable> queuedCallbacks = new ArrayList<>();
+    private final Deque<Queued> queue = new ArrayDeque<>();
     private List<StoredRecord> sent = List.of();
     private List<Runnable> sentCallbacks = List.of();
     private boolean inFlight;
@@ -74,8 +79,8 @@
         if (closed) {
             return;
         }
-        queued.addAll(records);
-        queuedCallbacks.add(whenStored);
+        records.forEach(record -> queue.add(new Queued(Optional.of(record), () -> {})));
+        queue.add(new Queued(Optional.empty(), whenStored));
         if (!inFlight) {
             sendQueued();
         }
@@ -84,15 +89,13 @@
     /** Discards unsent records and their callbacks. An append in flight isn't repeated. */
     public void close() {
         closed = true;
-        queued = new ArrayList<>();
-        queuedCallbacks = new ArrayList<>();
+        queue.clear();
     }
 
     private void sendQueued() {
-        List<StoredRecord> records = queued;
-        List<Runnable> callbacks = queuedCallbacks;
-        queued = new ArrayList<>();
-        queuedCallbacks = new ArrayList<>();
+        List<StoredRecord> records = new ArrayList<>();
+        List<Runnable> callbacks = new ArrayList<>();
+        takeBatch(records, callbacks);
         if (records.isEmpty()) {
             callbacks.forEach(Runnable::run);
             return;
@@ -103,6 +106,20 @@
         send(sequence);
     }
 
+    /** Takes the records that the store takes at once, at least one, and their callbacks. */
+    private void takeBatch(List<StoredRecord> records, List<Runnable> callbacks) {
+        long bytes = 0;
+        while (!queue.isEmpty()) {
+            Optional<StoredRecord> next = queue.peek().record();
+            bytes += next.map(StoredRecord::sizeBytes).orElse(0);
+            if (bytes > store.limits().appendBytes() && next.isPresent() && !records.isEmpty()) {
+                return;
+            }
+            next.ifPresent(records::add);
+            callbacks.add(queue.remove().whenStored());
+        }
+    }
+
     /**
      * Confirms the append in flight, if this record of a scheduler is one of it.
      *
@@ -150,7 +167,7 @@
         confirmedEndOffset = Math.max(confirmedEndOffset, endOffset);
         inFlight = false;
         callbacks.forEach(Runnable::run);
-        if (!inFlight && !(queued.isEmpty() && queuedCallbacks.isEmpty())) {
+        if (!inFlight && !queue.isEmpty()) {
             sendQueued();
         }
     }
--- a/node/src/test/java/io/cardamomshelf/node/FakeStore.java
+++ b/node/src/test/java/io/cardamomshelf/node/FakeStore.java
@@ -50,6 +50,7 @@
     public long lateAppendMillis = 2_000;
     public long appendMillis = CALL_MILLIS;
     public int appends;
+    public Limits limits = new Limits(262_144, 2_097_152);
 
     /** The share of the requested wait for which a read at the end of a stream waits. */
     public double waitShare = 0.1;
@@ -81,10 +82,24 @@
         firstOffsets.put(stream, (long) streams.get(stream).size());
     }
 
+    @Override
+    public Limits limits() {
+        return limits;
+    }
+
+    private boolean exceedsLimits(List<StoredRecord> records) {
+        int totalBytes = records.stream().mapToInt(StoredRecord::sizeBytes).sum();
+        return totalBytes > limits.appendBytes()
+                || records.stream().anyMatch(record -> record.sizeBytes() > limits.recordBytes());
+    }
+
     @Override
     public Uni<AppendOutcome> append(
             List<StoredRecord> records, Optional<Writer> writer, long timeoutMillis) {
         appends++;
+        if (exceedsLimits(records)) {
+            return completeAfter(CALL_MILLIS, () -> new AppendOutcome.Refused("400"));
+        }
         Fault currentFault = fault;
         return switch (currentFault) {
             case REFUSING -> completeAfter(CALL_MILLIS, () -> new AppendOutcome.Refused("503"));
--- a/node/src/test/java/io/cardamomshelf/node/schedule/NodeLinks.java
+++ b/node/src/test/java/io/cardamomshelf/node/schedule/NodeLinks.java
@@ -51,6 +51,11 @@
         disconnectedWorkers.add(WorkerId.of(name));
     }
 
+    @Override
+    public Limits limits() {
+        return store.limits();
+    }
+
     @Override
     public Uni<AppendOutcome> append(
             List<StoredRecord> records, Optional<Writer> writer, long timeoutMillis) {
--- a/node/src/test/java/io/cardamomshelf/node/schedule/SchedulingFixture.java
+++ b/node/src/test/java/io/cardamomshelf/node/schedule/SchedulingFixture.java
@@ -263,6 +263,21 @@
     }
 
     void submit(JobId id, QueuePolicy queue, int count, int accelerators, boolean gang) {
+        submit(id, queue, count, accelerators, gang, 0);
+    }
+
+    /** Submits a job that is due several times at once. */
+    void submitRepeated(JobId id, int count, int repetitions) {
+        submit(id, QUEUE, count, 1, false, repetitions);
+    }
+
+    private void submit(
+            JobId id,
+            QueuePolicy queue,
+            int count,
+            int accelerators,
+            boolean gang,
+            int repetitions) {
         StepSpec step =
                 new StepSpec(
                         count,
@@ -289,6 +304,6 @@
                                 OrganisationId.of("circle"),
                                 queue,
                                 time.now().wallMillis(),
-                                new JobRequest("spec", List.of(step), 0, 0, 0))));
+                                new JobRequest("spec", List.of(step), repetitions, 0, 0))));
     }
 }
