Start inherited tasks at once that no silent worker can run

Cause: such a job recorded that any worker may have its runs, so each of its tasks waited until all inherited workers had reported or were declared lost.

Evidence: TakeoverTest$AJobOfManyTasks: with one silent worker 0 instead of 8 tasks started before.

Why it works: progress records name the tasks that may have runs, and no task starts before it is in a stored record, so all others certainly have none. A few waiting tasks are recorded in advance, which keeps starts from waiting for the store. LoadSimulation confirms records one step later, so the bounds of the load tests, which are unchanged, include that wait.

--- a/core/src/main/java/io/cardamomshelf/core/schedule/LiveJob.java
+++ b/core/src/main/java/io/cardamomshelf/core/schedule/LiveJob.java
@@ -28,6 +28,7 @@
 
     private final TaskJob job;
     private final HostIntents hostIntents;
+    private final TaskIntents taskIntents;
 
     /** The groups that aren't done, and those that are and still have runs. */
     private final Map<GroupKey, TaskGroup> groups = new TreeMap<>();
@@ -49,6 +50,7 @@
         this.job = job;
         this.state = progress.state();
         this.hostIntents = new HostIntents(storedProgress.map(JobProgress::hosts), inherited);
+        this.taskIntents = new TaskIntents(storedProgress.map(JobProgress::tasks));
         this.completion = new StepCompletion(job.request().steps().size(), progress.completed());
         for (StepProgress step : progress.steps()) {
             if (step.done().cardinality() == job.request().steps().get(step.step()).count()) {
@@ -68,6 +70,17 @@
         return hostIntents;
     }
 
+    /** The tasks that are stored as possibly having runs. */
+    TaskIntents taskIntents() {
+        return taskIntents;
+    }
+
+    /** Records that the oldest progress record in flight is stored. */
+    void confirmOldestRecord() {
+        hostIntents.confirmOldestRecord();
+        taskIntents.confirmOldestRecord();
+    }
+
     JobState state() {
         return state;
     }
@@ -146,10 +159,11 @@
     }
 
     /**
-     * Returns the progress to store, which counts as in flight from now on. The record of an ended
-     * job has no steps, as none of them starts again.
+     * Returns the progress to store, which counts as in flight from now on. {@code allReported} is
+     * whether the runs of all inherited workers are known. The record of an ended job has no steps,
+     * as none of them starts again.
      */
-    JobProgress nextRecord() {
+    JobProgress nextRecord(boolean allReported) {
         completeDoneGroups();
         List<StepProgress> steps = new ArrayList<>();
         if (!isEnded()) {
@@ -167,7 +181,8 @@
                 state,
                 steps,
                 hostIntents.nextRecord(runningWorkers),
-                isEnded() ? CompletedSteps.NONE : completion.toRecord());
+                isEnded() ? CompletedSteps.NONE : completion.toRecord(),
+                taskIntents.nextRecord(isEnded() ? List.of() : groups.values(), allReported));
     }
 
     /** Keeps only the mark of groups that are done and have no runs any more. */
--- a/core/src/main/java/io/cardamomshelf/core/schedule/LiveJobTable.java
+++ b/core/src/main/java/io/cardamomshelf/core/schedule/LiveJobTable.java
@@ -80,6 +80,14 @@
         }
     }
 
+    /** Adds tasks to a job's task intents, and marks the job for storing if that is needed. */
+    void addTaskIntents(TaskGroup group, Collection<Integer> tasks) {
+        LiveJob job = group.owner();
+        if (job.taskIntents().add(group, tasks)) {
+            markChanged(job.job().id());
+        }
+    }
+
     /** Extends a job's host intent to any worker, and marks the job if that has to be stored. */
     void addIntentForAnyWorker(LiveJob job) {
         if (job.hostIntents().addAnyWorker()) {
@@ -128,11 +136,14 @@
         }
     }
 
-    /** Returns the changed progress to store, which counts as in flight from now on. */
-    Map<JobId, JobProgress> takeChangedProgress() {
+    /**
+     * Returns the changed progress to store, which counts as in flight from now on. {@code
+     * allReported} is whether the runs of all inherited workers are known.
+     */
+    Map<JobId, JobProgress> takeChangedProgress(boolean allReported) {
         Map<JobId, JobProgress> result = new LinkedHashMap<>();
         for (JobId id : changedJobs) {
-            find(id).ifPresent(job -> result.put(id, job.nextRecord()));
+            find(id).ifPresent(job -> result.put(id, job.nextRecord(allReported)));
         }
         changedJobs.clear();
         return result;
--- a/core/src/main/java/io/cardamomshelf/core/schedule/Round.java
+++ b/core/src/main/java/io/cardamomshelf/core/schedule/Round.java
@@ -49,7 +49,7 @@
             if (job.isEnded()) {
                 continue;
             }
-            if (state.mayHaveUnreportedRuns(job)) {
+            if (job.hostIntents().hasUnreportedWorkers()) {
                 waitReasons.put(job.job().id(), WaitReason.TAKEOVER);
             } else {
                 groups.addAll(job.readyGroups(now.wallMillis()));
@@ -83,7 +83,7 @@
     }
 
     private void place(TaskGroup group) {
-        List<Integer> waitingTasks = group.waitingTasks();
+        List<Integer> waitingTasks = tasksWithoutRuns(group);
         if (waitingTasks.isEmpty()) {
             return;
         }
@@ -99,6 +99,26 @@
         }
     }
 
+    /**
+     * Returns the waiting tasks of a group that certainly have no runs. After a takeover, others
+     * may run on workers that haven't reported yet.
+     */
+    private List<Integer> tasksWithoutRuns(TaskGroup group) {
+        List<Integer> waiting = group.waitingTasks();
+        if (waiting.isEmpty() || !state.mayHaveUnreportedRuns(group.owner())) {
+            return waiting;
+        }
+        List<Integer> withoutRuns =
+                waiting.stream()
+                        .filter(index -> !group.owner().taskIntents().isInherited(group, index))
+                        .toList();
+        if (withoutRuns.size() < waiting.size()) {
+            waitReasons.put(group.owner().job().id(), WaitReason.TAKEOVER);
+        }
+        boolean isBlocked = group.spec().gang() && withoutRuns.size() < waiting.size();
+        return isBlocked ? List.of() : withoutRuns;
+    }
+
     private void placeOneByOne(TaskGroup group, List<Integer> waitingTasks) {
         for (int index : waitingTasks) {
             if (!place(group, List.of(index))) {
@@ -132,8 +152,8 @@
         if (hosts.isEmpty() && !waitsForRack && TaskPlacer.hasPreferredRack(group)) {
             hosts = placer.placeAnywhere(group, count, candidates(group));
         }
-        if (hosts.isPresent() && !hasIntentFor(group, hosts.get())) {
-            hosts = findRecordedHostsOrAddIntents(group, hosts.get());
+        if (hosts.isPresent() && !hasIntentFor(group, waitingTasks, hosts.get())) {
+            hosts = findRecordedHostsOrAddIntents(group, waitingTasks, hosts.get());
             if (hosts.isEmpty()) {
                 return recordWait(group, WaitReason.ANNOUNCING);
             }
@@ -159,17 +179,21 @@
     }
 
     /**
-     * Returns hosts among the workers whose intents are already stored, if the tasks fit there:
-     * those that were reserved or preempted for the group, or that it ran on before. Otherwise
-     * holds the capacity until the intents for the given hosts are stored, and returns empty.
+     * Returns hosts among the workers whose intents are already stored, if the tasks fit there and
+     * have stored intents: those that were reserved or preempted for the group, or that it ran on
+     * before. Otherwise holds the capacity until the intents for the tasks and the given hosts are
+     * stored, and returns empty.
      */
     private Optional<List<WorkerState>> findRecordedHostsOrAddIntents(
-            TaskGroup group, List<WorkerState> hosts) {
+            TaskGroup group, List<Integer> tasks, List<WorkerState> hosts) {
         Optional<List<WorkerState>> recordedHosts =
-                placer.placeInPreferredRack(group, hosts.size(), candidatesWithIntent(group));
+                group.owner().taskIntents().covers(group, tasks)
+                        ? placer.placeInPreferredRack(
+                                group, hosts.size(), candidatesWithIntent(group))
+                        : Optional.empty();
         if (recordedHosts.isEmpty()) {
             group.owner().markRunning();
-            addHostIntents(group, hosts);
+            addIntents(group, hosts);
             hosts.forEach(host -> capacity.hold(host, group.spec().allocation()));
         }
         return recordedHosts;
@@ -177,23 +201,30 @@
 
     private List<WorkerState> candidatesWithIntent(TaskGroup group) {
         return candidates(group).stream()
-                .filter(worker -> hasIntentFor(group, List.of(worker)))
+                .filter(worker -> group.owner().hostIntents().covers(ids(List.of(worker))))
                 .toList();
     }
 
-    private static boolean hasIntentFor(TaskGroup group, List<WorkerState> hosts) {
-        return group.owner().hostIntents().covers(ids(hosts));
+    private static boolean hasIntentFor(
+            TaskGroup group, List<Integer> tasks, List<WorkerState> hosts) {
+        return group.owner().hostIntents().covers(ids(hosts))
+                && group.owner().taskIntents().covers(group, tasks);
     }
 
     /**
-     * Adds the intent for these hosts, or for any worker if the group has several tasks that start
-     * one by one, as those change hosts often.
+     * Adds the intents for these hosts and for the group's tasks. If it has several tasks that
+     * start one by one, the intent is for any worker, as those change hosts often, and for as many
+     * tasks as fit now.
      */
-    private void addHostIntents(TaskGroup group, List<WorkerState> hosts) {
+    private void addIntents(TaskGroup group, List<WorkerState> hosts) {
+        List<Integer> waiting = tasksWithoutRuns(group);
         if (group.isPlacedTogether()) {
             state.jobs().addHostIntents(group.owner(), ids(hosts));
+            state.jobs().addTaskIntents(group, waiting);
         } else {
             state.jobs().addIntentForAnyWorker(group.owner());
+            int count = Math.max(hosts.size(), placer.countFitting(group, candidates(group)));
+            state.jobs().addTaskIntents(group, waiting.subList(0, Math.min(count, waiting.size())));
         }
     }
 
@@ -226,7 +257,7 @@
         }
         reservations.reserve(group, start.get(), policy(group).priority());
         if (!group.owner().hostIntents().hasIntentForNextStart()) {
-            addHostIntents(group, start.get().hosts());
+            addIntents(group, start.get().hosts());
         }
         return reason;
     }
@@ -279,7 +310,7 @@
 
     /** Holds the planned capacity for the group and orders the stops that free it. */
     private void preempt(TaskGroup group, Preemption.Plan plan) {
-        addHostIntents(group, plan.hosts());
+        addIntents(group, plan.hosts());
         plan.hosts().forEach(host -> capacity.hold(host, group.spec().allocation()));
         for (Run victim : plan.victims()) {
             state.stop(victim, Order.StopReason.RECLAIMED, now).ifPresent(orders::add);
--- a/core/src/main/java/io/cardamomshelf/core/schedule/SchedulerState.java
+++ b/core/src/main/java/io/cardamomshelf/core/schedule/SchedulerState.java
@@ -99,7 +99,7 @@
      * @param id the job, not null
      */
     public void confirmProgressStored(JobId id) {
-        jobs.find(id).ifPresent(job -> job.hostIntents().confirmOldestRecord());
+        jobs.find(id).ifPresent(LiveJob::confirmOldestRecord);
     }
 
     /**
@@ -322,7 +322,7 @@
      * @return the progress to store, by job, never null
      */
     public Map<JobId, JobProgress> takeChangedProgress() {
-        return jobs.takeChangedProgress();
+        return jobs.takeChangedProgress(workerReports.areComplete());
     }
 
     /**
--- a/core/src/main/java/io/cardamomshelf/core/schedule/TaskPlacer.java
+++ b/core/src/main/java/io/cardamomshelf/core/schedule/TaskPlacer.java
@@ -49,6 +49,13 @@
         return pack(workers, group, count);
     }
 
+    /** How many tasks of the group fit on the workers now. */
+    int countFitting(TaskGroup group, List<WorkerState> workers) {
+        return workers.stream()
+                .mapToInt(worker -> fittingTasks(worker, group, capacity.freeFor(group, worker)))
+                .sum();
+    }
+
     static boolean hasPreferredRack(TaskGroup group) {
         return !group.spec().dataRack().isEmpty()
                 || group.spec().gang() && group.spec().rackLocal();
--- a/core/src/main/java/io/cardamomshelf/core/task/JobProgress.java
+++ b/core/src/main/java/io/cardamomshelf/core/task/JobProgress.java
@@ -18,13 +18,20 @@
  *     any worker
  * @param completed the steps that are done; null, as in older records without this field, means
  *     that {@code steps} has those, too
+ * @param tasks the tasks that may have runs; null, as in older records without this field, means
+ *     any task
  */
 public record JobProgress(
-        JobState state, List<StepProgress> steps, RunHosts hosts, CompletedSteps completed) {
+        JobState state,
+        List<StepProgress> steps,
+        RunHosts hosts,
+        CompletedSteps completed,
+        TaskSet tasks) {
 
     /** The progress of an accepted job that has not started. */
     public static final JobProgress QUEUED =
-            new JobProgress(JobState.QUEUED, List.of(), RunHosts.NONE);
+            new JobProgress(
+                    JobState.QUEUED, List.of(), RunHosts.NONE, CompletedSteps.NONE, TaskSet.NONE);
 
     /**
      * Creates the progress of a job.
@@ -36,16 +43,17 @@
         steps = List.copyOf(steps);
         hosts = hosts == null ? RunHosts.ANYWHERE : hosts;
         completed = completed == null ? CompletedSteps.NONE : completed;
+        tasks = tasks == null ? TaskSet.ANY : tasks;
     }
 
     /**
-     * Creates the progress of a job of which no step is done.
+     * Creates the progress of a job of which no step is done and any task may have runs.
      *
      * @param state the state that callers see, not null
      * @param steps the progress of the steps that have ended runs, not null
      * @param hosts the workers that may have runs; null means any worker
      */
     public JobProgress(JobState state, List<StepProgress> steps, RunHosts hosts) {
-        this(state, steps, hosts, CompletedSteps.NONE);
+        this(state, steps, hosts, CompletedSteps.NONE, TaskSet.ANY);
     }
 }
--- a/core/src/test/java/io/cardamomshelf/core/schedule/LoadSimulation.java
+++ b/core/src/test/java/io/cardamomshelf/core/schedule/LoadSimulation.java
@@ -7,6 +7,7 @@
 import io.cardamomshelf.core.task.Resources;
 import io.cardamomshelf.core.task.StepSpec;
 import io.cardamomshelf.core.task.TaskJob;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -89,6 +90,7 @@
     private final SimulatedWorkers workers = new SimulatedWorkers(schedulerState, this::workOf);
     private final Map<JobId, SimulatedJob> jobs = new LinkedHashMap<>();
     private final Map<String, Tally> tallies = new TreeMap<>();
+    private final List<JobId> unconfirmed = new ArrayList<>();
     private Optional<Burst> burst = Optional.empty();
     private Resources workerCapacity = Resources.NONE;
     private int maxGangHosts = Integer.MAX_VALUE;
@@ -195,11 +197,15 @@
         schedulerState.addJob(job, Optional.of(SchedulerFixture.QUEUED_ANYWHERE));
     }
 
+    /** Stores the changed progress. The store answers before the next step of the simulation. */
     private void recordCompletedJobs() {
+        unconfirmed.forEach(schedulerState::confirmProgressStored);
+        unconfirmed.clear();
         schedulerState
                 .takeChangedProgress()
                 .forEach(
                         (id, progress) -> {
+                            unconfirmed.add(id);
                             if (progress.state() == JobState.COMPLETED) {
                                 complete(jobs.get(id));
                             }
--- a/node/src/test/java/io/cardamomshelf/node/store/JobRecordsTest.java
+++ b/node/src/test/java/io/cardamomshelf/node/store/JobRecordsTest.java
@@ -9,6 +9,7 @@
 import io.cardamomshelf.core.task.JobProgress;
 import io.cardamomshelf.core.task.JobState;
 import io.cardamomshelf.core.task.RunHosts;
+import io.cardamomshelf.core.task.TaskSet;
 import io.cardamomshelf.node.port.StoredRecord;
 import java.util.BitSet;
 import java.util.HashMap;
@@ -79,7 +80,8 @@
                     JobState.RUNNING,
                     List.of(),
                     RunHosts.ANYWHERE,
-                    new CompletedSteps(firstOpen, new BitSet(), stepsDone));
+                    new CompletedSteps(firstOpen, new BitSet(), stepsDone),
+                    TaskSet.NONE);
         }
 
         @Test
