Limit the tasks that fit on a worker to those that the step has

Cause: a worker takes Integer.MAX_VALUE copies of an empty demand, and the sum over an even number of workers is negative.

Why it works: no worker counts for more tasks than the step has, at most 10,000, so sums over 25,000 workers stay in range. Related arithmetic is mended with it: due times, accelerators of urgent jobs, estimates.

--- a/core/src/main/java/io/cardamomshelf/core/schedule/LiveJob.java
+++ b/core/src/main/java/io/cardamomshelf/core/schedule/LiveJob.java
@@ -197,9 +197,9 @@
     }
 
     /** The accelerators that its widest step needs at once. */
-    int peakAccelerators() {
+    long peakAccelerators() {
         return job.request().steps().stream()
-                .mapToInt(step -> step.count() * step.demand().accelerators())
+                .mapToLong(step -> (long) step.count() * step.demand().accelerators())
                 .max()
                 .orElse(0);
     }
--- a/core/src/main/java/io/cardamomshelf/core/schedule/Round.java
+++ b/core/src/main/java/io/cardamomshelf/core/schedule/Round.java
@@ -72,10 +72,10 @@
 
     /** The organisations whose urgent jobs together fit into their guarantee. */
     private Set<OrganisationId> organisationsWithinGuarantee(Collection<LiveJob> jobs) {
-        Map<OrganisationId, Integer> requested = new HashMap<>();
+        Map<OrganisationId, Long> requested = new HashMap<>();
         for (LiveJob job : jobs) {
             if (!job.isEnded() && state.policy(job).priority() == 0) {
-                requested.merge(job.job().organisation(), job.peakAccelerators(), Integer::sum);
+                requested.merge(job.job().organisation(), job.peakAccelerators(), Long::sum);
             }
         }
         requested.entrySet().removeIf(entry -> entry.getValue() > state.guarantee(entry.getKey()));
--- a/core/src/main/java/io/cardamomshelf/core/schedule/TaskPlacer.java
+++ b/core/src/main/java/io/cardamomshelf/core/schedule/TaskPlacer.java
@@ -128,9 +128,12 @@
         return Optional.ofNullable(best);
     }
 
-    /** How many more tasks of the group fit, within the group's limit for one worker. */
+    /**
+     * How many more tasks of the group fit, within the group's limit for one worker; at most as
+     * many as it has, so that the numbers of many workers can be added.
+     */
     static int fittingTasks(WorkerState worker, TaskGroup group, Resources free) {
-        int fitting = group.spec().allocation().copiesIn(free);
+        int fitting = Math.min(group.spec().allocation().copiesIn(free), group.spec().count());
         int maxPerWorker = group.spec().maxPerWorker();
         if (maxPerWorker > 0) {
             long current = group.runs().stream().filter(run -> run.worker == worker).count();
--- a/core/src/main/java/io/cardamomshelf/core/task/JobRequest.java
+++ b/core/src/main/java/io/cardamomshelf/core/task/JobRequest.java
@@ -107,6 +107,11 @@
      * @return milliseconds since 1970, 0 if the steps don't run at set times
      */
     public long dueMillis(int occurrence) {
-        return isTimed() ? firstDueMillis + occurrence * intervalMillis : 0;
+        if (!isTimed()) {
+            return 0;
+        }
+        boolean isBeyondRange =
+                occurrence > 0 && intervalMillis > (Long.MAX_VALUE - firstDueMillis) / occurrence;
+        return isBeyondRange ? Long.MAX_VALUE : firstDueMillis + occurrence * intervalMillis;
     }
 }
--- a/core/src/main/java/io/cardamomshelf/core/task/StepSpec.java
+++ b/core/src/main/java/io/cardamomshelf/core/task/StepSpec.java
@@ -53,6 +53,9 @@
     /** The maximum number of tasks of a step. */
     public static final int MAX_TASKS = 10_000;
 
+    /** Longer estimates count as this long, a year in milliseconds, so that sums don't overflow. */
+    private static final long MAX_ESTIMATE_MILLIS = 365L * 24 * 3_600 * 1_000;
+
     /**
      * Creates a step.
      *
@@ -62,6 +65,7 @@
         Checks.range("count", count, 1, MAX_TASKS);
         Checks.notNull("demand", demand);
         Checks.range("estimateMillis", estimateMillis, 0, Long.MAX_VALUE);
+        estimateMillis = Math.min(estimateMillis, MAX_ESTIMATE_MILLIS);
         after = List.copyOf(after);
         Checks.notNull("label", label);
         Checks.notNull("dataRack", dataRack);
