Count a job as begun once a worker has taken a start of it

Cause: Round marked a job as running when it recorded its host intents.

Evidence: SchedulingTest$PendingJobs fails before with "expected: <1> but was: <0>". Ruled out: the count itself, which goes by the stored state.

Why it works: the answer to a start, a listed run or an end marks the job, as they did already; nothing else does. One test expected RUNNING in the record of the intent, which is what callers were told wrongly; it expects QUEUED there and RUNNING after the start.

--- a/core/src/main/java/io/cardamomshelf/core/schedule/Round.java
+++ b/core/src/main/java/io/cardamomshelf/core/schedule/Round.java
@@ -192,7 +192,6 @@
                                 group, hosts.size(), candidatesWithIntent(group))
                         : Optional.empty();
         if (recordedHosts.isEmpty()) {
-            group.owner().markRunning();
             addIntents(group, hosts);
             hosts.forEach(host -> capacity.hold(host, group.spec().allocation()));
         }
--- a/core/src/test/java/io/cardamomshelf/core/schedule/TakeoverTest.java
+++ b/core/src/test/java/io/cardamomshelf/core/schedule/TakeoverTest.java
@@ -153,10 +153,11 @@
             fixture.state.endInheritance();
             fixture.report("w1");
             assertEquals(List.of(), fixture.decide());
-            assertEquals(JobState.RUNNING, changedState(1));
+            assertEquals(JobState.QUEUED, changedState(1));
             assertEquals(List.of(), fixture.decide());
             fixture.state.confirmProgressStored(SchedulerFixture.job(1));
-            assertEquals(1, fixture.decideStarts().size());
+            assertEquals(1, fixture.startAll().size());
+            assertEquals(JobState.RUNNING, changedState(1));
         }
 
         private Order.Start startOnceIntentIsStored() {
--- a/node/src/test/java/io/cardamomshelf/node/schedule/SchedulingTest.java
+++ b/node/src/test/java/io/cardamomshelf/node/schedule/SchedulingTest.java
@@ -201,4 +201,27 @@
             assertEquals(List.of(), workers.overlaps);
         }
     }
+
+    /** Guards against a job that counts as begun though no worker has taken a start of it. */
+    @Nested
+    class PendingJobs {
+
+        @Test
+        void areThoseOfWhichNoWorkerHasTakenAStart() {
+            storeConfigurationAndWorkers("w1");
+            Process one = new Process("one");
+            time.advance(4_000);
+            workers.disconnected.add(WorkerId.of("w1"));
+            submit(1, false);
+            time.advance(3_000);
+            assertTrue(workers.starts.size() > 0);
+            assertEquals(1, one.candidate.jobs().countPending(QUEUE.name()));
+            assertEquals(JobState.QUEUED, one.state());
+            workers.disconnected.clear();
+            time.advance(20_000);
+            assertTrue(workers.isRunning(TASK));
+            assertEquals(0, one.candidate.jobs().countPending(QUEUE.name()));
+            assertEquals(JobState.RUNNING, one.state());
+        }
+    }
 }
