Run for election again at once after an unanswered candidacy

What operators saw: a candidate whose record was stored, though its answers were lost, waited for the leader timeout, though nobody led.

Cause: the newest leader record counted as a sign of a scheduler, also if it was of the very candidacy that had been given up.

Why it works: only a record with the holder, the epoch and the random identifier of the candidacy counts, and only if its append got no answer. The next candidacy has a higher epoch and waits for earlier leases as before.

--- a/node/src/main/java/io/cardamomshelf/node/schedule/SchedulerCandidate.java
+++ b/node/src/main/java/io/cardamomshelf/node/schedule/SchedulerCandidate.java
@@ -369,6 +369,11 @@
     private void electionMissed(Object cause) {
         pendingTerm = null;
         electionTimer.signReceived(clock.now());
+        if (cause instanceof AppendOutcome.Unknown
+                && jobs.leader().filter(candidacy::hasWritten).isPresent()) {
+            // Its record was stored unanswered and is the newest one, so nobody leads.
+            electionTimer.schedulerResigned();
+        }
         metrics.count(Name.ELECTIONS, "missed");
         EventLog.of(NodeEvent.LEADERSHIP_MISSED)
                 .with("epoch", candidacy.epoch())
