Soak: calls that outlive their worker's incarnation

A stand-in can now hold calls without an answer and carry them out seconds later, on the incarnation that is up then. Two troubles draw on it; the second restarts the workers meanwhile and cuts them off once the calls have arrived.

--- a/sessions/src/main/java/io/cardamomshelf/sessions/SoakInjector.java
+++ b/sessions/src/main/java/io/cardamomshelf/sessions/SoakInjector.java
@@ -79,6 +79,8 @@
                     targets.forEach(g -> killGroup(g, length, Long.parseLong(trouble.detail())));
             case FREEZE_GROUPS -> targets.forEach(g -> freezeGroup(g, length));
             case STORE_FAULT -> disturbStore(targets, trouble.detail(), length);
+            case DELAY_CALLS -> delayCalls(targets, trouble, Set.of());
+            case DELAY_CALLS_ACROSS_RESTART -> delayCalls(targets, trouble, targets);
             case POWER_LOSS -> losePower(length, Long.parseLong(trouble.detail()));
             default -> throw new IllegalArgumentException("no such kind: " + trouble.kind());
         }
@@ -179,6 +181,39 @@
                 });
     }
 
+    /**
+     * Delays the calls to some workers. Those that are to restart do so halfway, and are cut off
+     * from all instances once the delayed calls have arrived, for longer than their leases.
+     */
+    private void delayCalls(Set<Integer> workers, SoakTrouble trouble, Set<Integer> restarted) {
+        long length = trouble.lengthMillis();
+        long delay = Long.parseLong(trouble.detail());
+        List<Runnable> calm = disruptWorkers(workers);
+        workers.forEach(w -> attempt("delay", () -> command(w, "delay", delay)));
+        after(
+                length / 2,
+                () -> restarted.forEach(w -> attempt("restart", () -> command(w, "restart", 0))));
+        after(length, () -> workers.forEach(w -> attempt("prompt", () -> command(w, "prompt"))));
+        after(
+                length + delay,
+                () -> {
+                    if (restarted.isEmpty()) {
+                        calm.forEach(Runnable::run);
+                    } else {
+                        cut(
+                                Set.of(),
+                                restarted,
+                                SoakRelay.Fault.SILENT.name(),
+                                SoakTrouble.CUT_MILLIS);
+                        after(SoakTrouble.CUT_MILLIS, () -> calm.forEach(Runnable::run));
+                    }
+                });
+    }
+
+    private void command(int worker, String verb, Object... arguments) throws SessionException {
+        deployment.command(SoakDeployment.workerName(worker), verb, arguments);
+    }
+
     /**
      * Disturbs the relays of some instances to all workers, or of some workers to all instances.
      */
@@ -257,6 +292,7 @@
         }
         for (int worker = 0; worker < deployment.workers(); worker++) {
             deployment.command(SoakDeployment.workerName(worker), "healthy");
+            deployment.command(SoakDeployment.workerName(worker), "prompt");
             deployment.command(SoakDeployment.workerName(worker), "resume");
         }
     }
--- a/sessions/src/main/java/io/cardamomshelf/sessions/SoakTrouble.java
+++ b/sessions/src/main/java/io/cardamomshelf/sessions/SoakTrouble.java
@@ -15,7 +15,8 @@
  * @param kind what happens
  * @param hitsScheduler whether it hits the instance that schedules, besides {@code targets}
  * @param targets the instances, workers or processes of workers that it hits, by index
- * @param detail the fault of the store or of the relays, or a clock's offset in milliseconds
+ * @param detail the fault of the store or of the relays, a clock's offset in milliseconds, or the
+ *     delay of calls in milliseconds
  */
 record SoakTrouble(
         long atMillis,
@@ -38,7 +39,16 @@
         KILL_GROUPS,
         FREEZE_GROUPS,
         STORE_FAULT,
-        POWER_LOSS
+        POWER_LOSS,
+
+        /** Calls to workers get no answer and are carried out seconds later. */
+        DELAY_CALLS,
+
+        /**
+         * The same, and meanwhile the workers restart, so that the next incarnation carries the
+         * calls out, and are cut off soon after.
+         */
+        DELAY_CALLS_ACROSS_RESTART
     }
 
     private static final int MEAN_GAP_MILLIS = 1_800;
@@ -52,7 +62,21 @@
             List.of("reset", "refusing", "silent", "slow", "losing", "late");
     private static final List<String> CLOCK_OFFSETS = List.of("0", "0", "-60000", "-500", "60000");
 
-    /** How often each kind is drawn, in the order of the kinds. */
+    /** How long restarted workers are cut off, in milliseconds: longer than the longest lease. */
+    static final long CUT_MILLIS = 11_000;
+
+    private static final int MIN_CALL_DELAY_MILLIS = 2_000;
+    private static final int MAX_CALL_DELAY_MILLIS = 12_000;
+
+    /** Makes the draw of delayed calls independent, so that seeds keep their other troubles. */
+    private static final long DELAYS_SEED = 0x64656c6179L;
+
+    private static final int MEAN_DELAYS_GAP_MILLIS = 6_000;
+
+    /**
+     * How often each kind is drawn, in the order of the kinds; those of delayed calls are drawn by
+     * themselves.
+     */
     private static final int[] WEIGHTS = {5, 2, 4, 2, 3, 2, 1, 3, 2, 2, 7, 1};
 
     SoakTrouble {
@@ -81,10 +105,31 @@
                 at += MIN_LENGTH_MILLIS + random.nextInt(2 * MEAN_GAP_MILLIS);
             }
         }
+        troubles.addAll(drawDelays(new Random(seed ^ DELAYS_SEED), spanMillis, workers));
         troubles.sort(Comparator.comparingLong(SoakTrouble::atMillis));
         return List.copyOf(troubles);
     }
 
+    private static List<SoakTrouble> drawDelays(Random random, long spanMillis, int workers) {
+        List<SoakTrouble> troubles = new ArrayList<>();
+        for (long at = random.nextInt(MEAN_DELAYS_GAP_MILLIS);
+                at < spanMillis - MIN_LENGTH_MILLIS;
+                at += MIN_LENGTH_MILLIS + random.nextInt(2 * MEAN_DELAYS_GAP_MILLIS)) {
+            Kind kind = random.nextBoolean() ? Kind.DELAY_CALLS : Kind.DELAY_CALLS_ACROSS_RESTART;
+            long length = MIN_LENGTH_MILLIS + random.nextInt(MAX_LENGTH_MILLIS);
+            int delay =
+                    MIN_CALL_DELAY_MILLIS
+                            + random.nextInt(MAX_CALL_DELAY_MILLIS - MIN_CALL_DELAY_MILLIS + 1);
+            Set<Integer> targets = pick(random, workers, 1, 4);
+            boolean isCut = kind == Kind.DELAY_CALLS_ACROSS_RESTART;
+            if (at + length + delay + (isCut ? CUT_MILLIS : 0) < spanMillis) {
+                troubles.add(
+                        new SoakTrouble(at, length, kind, false, targets, String.valueOf(delay)));
+            }
+        }
+        return troubles;
+    }
+
     private static Kind drawKind(Random random) {
         int sum = 0;
         for (int weight : WEIGHTS) {
--- a/standin/src/main/java/io/cardamomshelf/standin/platform/SoakStandinMain.java
+++ b/standin/src/main/java/io/cardamomshelf/standin/platform/SoakStandinMain.java
@@ -105,6 +105,8 @@
                 case "resume" -> worker.setPaused(false);
                 case "assemble" -> worker.assemble(words[2], Long.parseLong(words[3]));
                 case "break" -> worker.breakUp(words[2], Long.parseLong(words[3]));
+                case "delay" -> worker.setCallDelay(Long.parseLong(words[2]));
+                case "prompt" -> worker.setCallDelay(0);
                 case "unhealthy" -> worker.setUnhealthy(true);
                 case "healthy" -> worker.setUnhealthy(false);
                 default -> throw new IllegalArgumentException("unknown command: " + line);
--- a/standin/src/main/java/io/cardamomshelf/standin/platform/TaskWorkerStandin.java
+++ b/standin/src/main/java/io/cardamomshelf/standin/platform/TaskWorkerStandin.java
@@ -31,6 +31,11 @@
  */
 final class TaskWorkerStandin {
 
+    /** The keys of a call's data: its caller's address, and a mark that it gets no answer. */
+    private static final String CALLER = "caller";
+
+    private static final String ANSWER_LOST = "answerLost";
+
     private static final String LOOPBACK = "127.0.0.1";
     private static final int OK = 200;
     private static final int CONFLICT = 409;
@@ -100,6 +105,7 @@
     private boolean unhealthy;
     private boolean paused;
     private final List<Runnable> deferredCalls = new ArrayList<>();
+    private long callDelayMillis;
 
     TaskWorkerStandin(
             Vertx vertx,
@@ -116,9 +122,9 @@
     Uni<Integer> start() {
         Router router = Router.router(vertx);
         router.route().handler(BodyHandler.create(false));
-        router.post("/run-start").handler(context -> withFencing(context, this::start));
-        router.post("/run-stop").handler(context -> withFencing(context, this::stop));
-        router.post("/hold").handler(context -> withFencing(context, this::renewLease));
+        router.post("/run-start").handler(context -> receive(context, this::start));
+        router.post("/run-stop").handler(context -> receive(context, this::stop));
+        router.post("/hold").handler(context -> receive(context, this::renewLease));
         vertx.setPeriodic(CHECK_INTERVAL_MILLIS, timer -> endFinishedAndLapsedRuns());
         return vertx.createHttpServer()
                 .connectionHandler(this::addConnection)
@@ -182,6 +188,14 @@
         }
     }
 
+    /**
+     * Sets how long calls that arrive from now on are in transit, in milliseconds; 0 for no time.
+     * They reach the incarnation that is up then, and their answers are lost.
+     */
+    void setCallDelay(long millis) {
+        callDelayMillis = millis;
+    }
+
     /** Sets how far the time of day is off by which the worker says when it started. */
     void setClockOffset(long millis) {
         bornMillis = startedMillis + millis;
@@ -223,6 +237,16 @@
         return System.currentTimeMillis() - startedMillis + 1;
     }
 
+    private void receive(RoutingContext context, BiConsumer<RoutingContext, JsonObject> handler) {
+        context.put(CALLER, context.request().remoteAddress().host());
+        if (callDelayMillis > 0) {
+            context.put(ANSWER_LOST, true);
+            vertx.setTimer(callDelayMillis, timer -> withFencing(context, handler));
+        } else {
+            withFencing(context, handler);
+        }
+    }
+
     /**
      * Refuses a call whose fencing token is lower than the highest so far; otherwise extends the
      * lease, if the call asks for it, and passes the body to {@code handler}.
@@ -235,8 +259,7 @@
         }
         endFinishedAndLapsedRuns();
         if (unhealthy) {
-            StoreStandin.answer(
-                    context, SERVICE_UNAVAILABLE, new JsonObject().put("clock_ms", clock()));
+            answer(context, SERVICE_UNAVAILABLE, new JsonObject().put("clock_ms", clock()));
             return;
         }
         JsonObject body = context.body().asJsonObject();
@@ -261,7 +284,7 @@
     }
 
     private static String callerOf(RoutingContext context) {
-        return context.request().remoteAddress().host();
+        return context.get(CALLER);
     }
 
     private void start(RoutingContext context, JsonObject body) {
@@ -342,16 +365,14 @@
         JsonArray rows = new JsonArray();
         running.forEach(
                 (task, run) -> rows.add(new JsonArray().add(task).add(run.number).add("").add(0)));
-        if (!context.response().closed()) {
-            StoreStandin.answer(
-                    context,
-                    OK,
-                    new JsonObject()
-                            .put("clock_ms", clock())
-                            .put("born", bornMillis)
-                            .put("running", rows)
-                            .put("finished_runs", new JsonArray(List.copyOf(unacknowledgedEnds))));
-        }
+        answer(
+                context,
+                OK,
+                new JsonObject()
+                        .put("clock_ms", clock())
+                        .put("born", bornMillis)
+                        .put("running", rows)
+                        .put("finished_runs", new JsonArray(List.copyOf(unacknowledgedEnds))));
     }
 
     private void endFinishedAndLapsedRuns() {
@@ -375,12 +396,17 @@
                 new JsonArray().add(lastEndNumber).add(task).add(run.number).add(outcome).add(""));
     }
 
+    private static void answer(RoutingContext context, int status, JsonObject body) {
+        if (context.get(ANSWER_LOST) == null && !context.response().closed()) {
+            StoreStandin.answer(context, status, body);
+        }
+    }
+
     private void accept(RoutingContext context) {
-        StoreStandin.answer(context, OK, new JsonObject().put("clock_ms", clock()));
+        answer(context, OK, new JsonObject().put("clock_ms", clock()));
     }
 
     private void refuse(RoutingContext context, String reason) {
-        StoreStandin.answer(
-                context, CONFLICT, new JsonObject().put("clock_ms", clock()).put("reason", reason));
+        answer(context, CONFLICT, new JsonObject().put("clock_ms", clock()).put("reason", reason));
     }
 }
