Stop starts without an answer on each new incarnation of their worker

What callers could see: a task ran again after it was done (TWICE), as an attempt at its start that had got no answer was carried out by the worker's next incarnation.

Cause: such a start was stopped on a new incarnation only while its run was known. After its end nobody remembered the attempt that was still in transit.

WorkerRestartTest "areRefusedByTheNextIncarnation..." fails before. Ruled out: leases (the run was over).

Why it works: a worker refuses a run number that isn't higher than one stopped there, and the stop is sent as soon as a new incarnation is known.

--- a/core/src/main/java/io/cardamomshelf/core/schedule/LeaseClock.java
+++ b/core/src/main/java/io/cardamomshelf/core/schedule/LeaseClock.java
@@ -35,7 +35,7 @@
     private static final long KILL_MARGIN_MILLIS = 300;
 
     /** How long after it was sent a call may still be carried out, in milliseconds. */
-    private static final long MAX_CALL_DELAY_MILLIS = 12_000;
+    public static final long MAX_CALL_DELAY_MILLIS = 12_000;
 
     /**
      * How long a scheduler may go on with the clock of an earlier incarnation, in milliseconds. By
--- a/node/src/main/java/io/cardamomshelf/node/schedule/OrderSender.java
+++ b/node/src/main/java/io/cardamomshelf/node/schedule/OrderSender.java
@@ -10,7 +10,11 @@
 import io.cardamomshelf.node.event.NodeEvent;
 import io.cardamomshelf.node.port.WorkerOrders;
 import io.cardamomshelf.node.port.WorkerOrders.Answer;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.LinkedHashSet;
 import java.util.OptionalLong;
+import java.util.Set;
 
 /**
  * Sends starts and stops of runs to one worker, and reports the outcomes to the scheduler state.
@@ -20,6 +24,10 @@
  * earlier one. A stop is repeated until the worker has carried it out, also if it was refused, as
  * an unhealthy worker refuses calls without doing anything.
  *
+ * <p>A start without an answer may be carried out seconds later, also by the worker's next
+ * incarnation, which doesn't know that the run was stopped or has ended. It is therefore stopped on
+ * each new incarnation for as long as it may arrive.
+ *
  * <p>Use: {@link WorkerLink} has one sender, and implements {@link Worker} for it.
  *
  * <p>Not thread-safe: belongs to the instance's event loop.
@@ -74,6 +82,8 @@
 
     private static final int MAX_START_ATTEMPTS = 2;
 
+    private record UnansweredStart(Order.Start start, long sentMillis) {}
+
     private final Timers timers;
     private final WorkerOrders orders;
     private final SchedulerState state;
@@ -83,6 +93,9 @@
     private final LeaseClock leaseClock;
     private final Worker worker;
 
+    /** The starts that got no answer and may still be carried out, oldest first. */
+    private final Deque<UnansweredStart> unansweredStarts = new ArrayDeque<>();
+
     OrderSender(
             SchedulerTermContext context,
             SchedulerState state,
@@ -106,6 +119,22 @@
         stop(stop, 1);
     }
 
+    /** Makes a new incarnation refuse the starts that may still arrive there. */
+    void stopUnansweredStarts() {
+        long oldestMillis = clock.monotonicMillis() - LeaseClock.MAX_CALL_DELAY_MILLIS;
+        unansweredStarts.removeIf(unanswered -> unanswered.sentMillis() < oldestMillis);
+        Set<Order.Start> starts = new LinkedHashSet<>();
+        unansweredStarts.forEach(unanswered -> starts.add(unanswered.start()));
+        for (Order.Start start : starts) {
+            stop(
+                    new Order.Stop(
+                            start.worker(),
+                            start.task(),
+                            start.run(),
+                            Order.StopReason.START_ABORTED));
+        }
+    }
+
     private void stop(Order.Stop stop, int attempt) {
         if (worker.isClosed() || worker.isFenced()) {
             return;
@@ -139,6 +168,8 @@
         }
         if (reply.answer().isFromWorker()) {
             leaseClock.callAnswered(call.sentMillis());
+        } else {
+            unansweredStarts.addLast(new UnansweredStart(start, call.sentMillis()));
         }
         worker.observeClock(reply.clockMillis(), call);
         if (reply.answer() != Answer.DONE) {
--- a/node/src/main/java/io/cardamomshelf/node/schedule/WorkerLink.java
+++ b/node/src/main/java/io/cardamomshelf/node/schedule/WorkerLink.java
@@ -416,6 +416,7 @@
         state.workerReports().beginIncarnation(info.id(), bornMillis);
         info = info.withBornMillis(bornMillis);
         acknowledgements.beginIncarnation(bornMillis);
+        orderSender.stopUnansweredStarts();
     }
 
     /**
--- a/node/src/test/java/io/cardamomshelf/node/schedule/WorkerRestartTest.java
+++ b/node/src/test/java/io/cardamomshelf/node/schedule/WorkerRestartTest.java
@@ -134,6 +134,26 @@
             assertEquals(WorkerId.of("w2"), workers.hostOf(TASK));
         }
 
+        /** Guards against a start that is carried out after its task was done. */
+        @Test
+        void areRefusedByTheNextIncarnationThoughTheirRunHasEnded() {
+            lead();
+            workers.lateMillis.put(worker, 6_000L);
+            submit(1, false);
+            time.advance(100);
+            workers.lateMillis.clear();
+            while (!workers.isRunning(TASK)) {
+                time.advance(1);
+            }
+            workers.finish("w1", TASK, RunEnd.DONE);
+            time.advance(1_000);
+            workers.restart("w1");
+            register("w1");
+            time.advance(10_000);
+            assertEquals(List.of(), workers.repeats);
+            assertFalse(workers.isRunning(TASK));
+        }
+
         /** Guards against the repeat of a start after its job was cancelled. */
         @Test
         void areNotRepeatedOnceTheirJobIsCancelled() {
