Read the log before a job of the own interface is called unknown

What callers could see: DELETE /v1/jobs/ID right after the acceptance answered 404 with the verdict "not run", and the job ran.

Cause: the entry answers from its table, which follows the log and may lag behind the acceptance that it has acknowledged.

Ruled out: nothing else stood between.

Why it works: a job that isn't known is looked for after a read up to the log's tail. If that fails, the answer says that the log is away.

--- a/entry/src/main/java/io/cardamomshelf/entry/CallersApi.java
+++ b/entry/src/main/java/io/cardamomshelf/entry/CallersApi.java
@@ -213,38 +213,33 @@
     }
 
     private void showJob(RoutingContext context) {
-        withJob(
-                context,
-                id ->
-                        jobs.findView(id)
-                                .ifPresentOrElse(
-                                        view -> send(context, OK, view),
-                                        () -> sendUnknownJob(context, id)));
+        withJob(context, view -> send(context, OK, view));
     }
 
     private void cancelJob(RoutingContext context) {
         withJob(
                 context,
-                id -> {
-                    if (jobs.findView(id).isEmpty()) {
-                        sendUnknownJob(context, id);
-                        return;
-                    }
-                    jobs.cancel(id)
-                            .subscribe()
-                            .with(
-                                    offset ->
-                                            send(
-                                                    context,
-                                                    ACCEPTED,
-                                                    jobs.findView(id).orElseThrow()),
-                                    failure -> reply(context, "", answerLost()));
-                });
+                view ->
+                        jobs.cancel(view.job())
+                                .subscribe()
+                                .with(
+                                        offset ->
+                                                send(
+                                                        context,
+                                                        ACCEPTED,
+                                                        jobs.findView(view.job()).orElseThrow()),
+                                        failure -> reply(context, "", answerLost())));
     }
 
-    private void withJob(RoutingContext context, Consumer<JobId> action) {
+    /** Calls an action with the job that the path names, or sends why there is none. */
+    private void withJob(RoutingContext context, Consumer<JobService.View> action) {
         try {
-            action.accept(JobId.of(context.pathParam("id")));
+            JobId id = JobId.of(context.pathParam("id"));
+            jobs.findCurrentView(id)
+                    .subscribe()
+                    .with(
+                            view -> view.ifPresentOrElse(action, () -> sendUnknownJob(context, id)),
+                            failure -> reply(context, "", Answer.notRun(Reason.LOG_AWAY)));
         } catch (IllegalArgumentException e) {
             sendInvalid(context, "id", e.getMessage());
         }
--- a/entry/src/main/java/io/cardamomshelf/entry/JobLog.java
+++ b/entry/src/main/java/io/cardamomshelf/entry/JobLog.java
@@ -63,6 +63,17 @@
                 .invoke(() -> submissions.remove(record.job()));
     }
 
+    /** Reads the log up to its tail; fails with a {@code PlatformException} if it can't be read. */
+    Uni<Void> catchUp() {
+        return log.read(LogClient.JOBS, table.offset() + 1, 0)
+                .invoke(this::apply)
+                .chain(
+                        page ->
+                                table.offset() + 1 < page.next()
+                                        ? catchUp()
+                                        : Uni.createFrom().voidItem());
+    }
+
     private void publishAcceptance(JobId job) {
         String requestId = submissions.remove(job);
         if (requestId != null) {
--- a/entry/src/main/java/io/cardamomshelf/entry/JobService.java
+++ b/entry/src/main/java/io/cardamomshelf/entry/JobService.java
@@ -91,6 +91,17 @@
         return table.job(id).map(this::view);
     }
 
+    /**
+     * Finds a job, after reading the log if it isn't known here: it may have been accepted a moment
+     * ago. Fails if the log can't be read.
+     */
+    Uni<Optional<View>> findCurrentView(JobId id) {
+        Optional<View> known = findView(id);
+        return known.isPresent()
+                ? Uni.createFrom().item(known)
+                : log.catchUp().map(done -> findView(id));
+    }
+
     /** Returns the jobs that haven't ended, for operators. */
     OperatorViews.Jobs openJobs() {
         return new OperatorViews.Jobs(table.open().stream().map(this::operatorsView).toList());
--- a/sessions/src/test/java/io/cardamomshelf/sessions/LocalDeployment.java
+++ b/sessions/src/test/java/io/cardamomshelf/sessions/LocalDeployment.java
@@ -271,6 +271,10 @@
         return send("POST", callers(entry) + "/v1/jobs", body);
     }
 
+    Reply cancel(String entry, String job) throws SessionException {
+        return send("DELETE", callers(entry) + "/v1/jobs/" + job, null);
+    }
+
     Reply job(String entry, String job) throws SessionException {
         return send("GET", callers(entry) + "/v1/jobs/" + job, null);
     }
--- a/standin/src/main/java/io/cardamomshelf/standin/LogStandin.java
+++ b/standin/src/main/java/io/cardamomshelf/standin/LogStandin.java
@@ -37,7 +37,9 @@
         /** It appends, then closes the connection without an answer. */
         LOSE_ANSWERS,
         /** It appends, and answers after a pause. */
-        LATE_ANSWERS
+        LATE_ANSWERS,
+        /** It appends and answers, but readers that wait for a record get it after a pause. */
+        LATE_TAILS
     }
 
     private static final long MAX_WAIT_MILLIS = 30_000;
@@ -142,7 +144,13 @@
         }
         List<Waiter> due = List.copyOf(stream.waiters);
         stream.waiters.clear();
-        due.forEach(waiter -> waiter.respond().run());
+        if (currentMode == Mode.LATE_TAILS) {
+            vertx().setTimer(
+                            Math.max(1, slowMillis),
+                            id -> due.forEach(waiter -> waiter.respond().run()));
+        } else {
+            due.forEach(waiter -> waiter.respond().run());
+        }
         switch (currentMode) {
             case LOSE_ANSWERS -> context.request().connection().closeAndForget();
             case LATE_ANSWERS ->
