--- a/node/src/test/java/io/cardamomshelf/node/schedule/WorkerRestartFuzzTest.java
+++ b/node/src/test/java/io/cardamomshelf/node/schedule/WorkerRestartFuzzTest.java
@@ -60,7 +60,9 @@
 
     private void simulate(long seed) {
         random = new Random(seed);
-        setStateKept(STATE_KEPT_MILLIS);
+        if (delaysCalls) {
+            setStateKept(STATE_KEPT_MILLIS);
+        }
         storeConfigurationAndWorkers(WORKERS);
         if (random.nextBoolean()) {
             reportWorkerClocks();
@@ -257,6 +259,16 @@
             assertEachTaskRanOnceAndNoneIsLeft();
         }
 
+        /** Guards against the same on machines whose clocks are set. */
+        @ParameterizedTest
+        @ValueSource(longs = {2101, 2102, 2103, 2104, 2105, 2106, 2107, 2108, 2109, 2110})
+        void besideDelayedCallsOnMachinesWhoseClocksAreSetCauseNeither(long seed) {
+            delaysCalls = true;
+            setsClocks = true;
+            simulate(seed);
+            assertEachTaskRanOnceAndNoneIsLeft();
+        }
+
         /** Guards against an order of incarnations by their start times. */
         @ParameterizedTest
         @ValueSource(
