--- a/core/src/main/java/io/cardamomshelf/core/schedule/SchedulerState.java
+++ b/core/src/main/java/io/cardamomshelf/core/schedule/SchedulerState.java
@@ -38,7 +38,7 @@
     private Map<OrganisationId, Integer> guarantees = Map.of();
     private Set<DataCentreId> closedDataCentres = Set.of();
     private final DrainPolicy drainPolicy = new DrainPolicy();
-    private final StragglerDetector stragglerDetector = new StragglerDetector();
+    private final FleetObservations observations = new FleetObservations();
     private final PlacementTickets tickets = new PlacementTickets();
     private final AdviceRequests adviceRequests = new AdviceRequests(this, tickets);
     private Map<JobId, WaitReason> waitReasons = Map.of();
@@ -262,7 +262,7 @@
         List<Order> orders = new ArrayList<>(workers.orphans().takeDueStops(now.monotonicMillis()));
         orders.addAll(ObsoleteRuns.stopOrders(jobs.all(), this, now));
         orders.addAll(drainPolicy.stopOrders(workers.all(), this, now));
-        stragglerDetector.update(workers.all(), now.monotonicMillis());
+        observations.update(workers.all(), now);
         Round round = new Round(this, now);
         orders.addAll(round.decide(jobs.all()));
         waitReasons = Map.copyOf(round.waitReasons());
@@ -313,7 +313,7 @@
      * @return their identifiers, never null; they get no starts
      */
     public Set<WorkerId> stragglers() {
-        return stragglerDetector.stragglers();
+        return observations.stragglers();
     }
 
     /**
@@ -358,25 +358,6 @@
         return workers.find(id).isPresent();
     }
 
-    /**
-     * Returns the rack of a worker.
-     *
-     * @param id the worker, not null
-     * @return its rack, empty if the worker isn't known
-     */
-    public String rackOf(WorkerId id) {
-        return workers.find(id).map(worker -> worker.info().rack()).orElse("");
-    }
-
-    /**
-     * Counts the runs that are ordered, running or being stopped, on all workers.
-     *
-     * @return the number, 0 or more
-     */
-    public int countRuns() {
-        return workers.all().stream().mapToInt(worker -> worker.runs().size()).sum();
-    }
-
     /** The workers whose free capacity is known: those without orphaned runs. */
     Collection<WorkerState> workers() {
         return workers.all().stream()
@@ -388,6 +369,10 @@
         return workers.find(id);
     }
 
+    FleetObservations observations() {
+        return observations;
+    }
+
     Set<DataCentreId> closedDataCentres() {
         return closedDataCentres;
     }
--- a/core/src/main/java/io/cardamomshelf/core/schedule/TaskPlacer.java
+++ b/core/src/main/java/io/cardamomshelf/core/schedule/TaskPlacer.java
@@ -22,9 +22,11 @@
 final class TaskPlacer {
 
     private final RoundCapacity capacity;
+    private final HostCost hostCost;
 
-    TaskPlacer(RoundCapacity capacity) {
+    TaskPlacer(RoundCapacity capacity, HostCost hostCost) {
         this.capacity = capacity;
+        this.hostCost = hostCost;
     }
 
     /**
@@ -112,17 +114,19 @@
             List<WorkerState> workers, TaskGroup group, Map<WorkerState, Integer> assigned) {
         Resources demand = group.spec().allocation();
         WorkerState best = null;
-        double smallestLeftover = Double.MAX_VALUE;
+        double lowestCost = Double.MAX_VALUE;
         for (WorkerState worker : workers) {
             int assignedHere = assigned.getOrDefault(worker, 0);
             Resources free = capacity.freeFor(group, worker);
             if (fittingTasks(worker, group, free) <= assignedHere) {
                 continue;
             }
-            double leftover = leftoverShare(worker, free, demand, assignedHere + 1);
-            if (leftover < smallestLeftover) {
+            double cost =
+                    leftoverShare(worker, free, demand, assignedHere + 1)
+                            + hostCost.extraTimeShare(group, worker);
+            if (cost < lowestCost) {
                 best = worker;
-                smallestLeftover = leftover;
+                lowestCost = cost;
             }
         }
         return Optional.ofNullable(best);
--- a/core/src/main/java/io/cardamomshelf/core/schedule/WorkerReports.java
+++ b/core/src/main/java/io/cardamomshelf/core/schedule/WorkerReports.java
@@ -94,4 +94,23 @@
     public long lastEndNumber(WorkerId id) {
         return workers.find(id).map(WorkerState::lastEndNumber).orElse(0L);
     }
+
+    /**
+     * Returns the rack of a worker.
+     *
+     * @param id the worker, not null
+     * @return its rack, empty if the worker isn't known
+     */
+    public String rackOf(WorkerId id) {
+        return workers.find(id).map(worker -> worker.info().rack()).orElse("");
+    }
+
+    /**
+     * Counts the runs that are ordered, running or being stopped, on all workers.
+     *
+     * @return the number, 0 or more
+     */
+    public int countRuns() {
+        return workers.all().stream().mapToInt(worker -> worker.runs().size()).sum();
+    }
 }
--- a/core/src/test/java/io/cardamomshelf/core/schedule/RestartedWorkerTest.java
+++ b/core/src/test/java/io/cardamomshelf/core/schedule/RestartedWorkerTest.java
@@ -101,7 +101,7 @@
                     true,
                     fixture.now());
             assertEquals(0, fixture.state.workerReports().lastEndNumber(start.worker()));
-            assertEquals(0, fixture.state.countRuns());
+            assertEquals(0, fixture.state.workerReports().countRuns());
         }
 
         /** Guards against the first attempt at a start that reaches the new incarnation. */
--- a/core/src/test/java/io/cardamomshelf/core/schedule/SchedulerFixture.java
+++ b/core/src/test/java/io/cardamomshelf/core/schedule/SchedulerFixture.java
@@ -205,7 +205,7 @@
     }
 
     private String rackOf(String name) {
-        return state.rackOf(worker(name));
+        return state.workerReports().rackOf(worker(name));
     }
 
     SchedulerFixture submit(int number, int priority, StepBuilder... steps) {
--- a/node/src/main/java/io/cardamomshelf/node/schedule/SchedulerTerm.java
+++ b/node/src/main/java/io/cardamomshelf/node/schedule/SchedulerTerm.java
@@ -92,7 +92,7 @@
         this.links = new WorkerLinks(context, state, workers, this);
         this.adviceFetcher = new AdviceFetcher(context, state, this::stateChanged);
         this.roundReporter = new RoundReporter(context, state, jobs);
-        this.jobReporter = new JobReporter(context.metrics(), state::rackOf);
+        this.jobReporter = new JobReporter(context.metrics(), state.workerReports()::rackOf);
         this.fenceRefusals = new FenceRefusals(context, this::endFenced);
         this.retention = new JobRetention(jobs, context.settings().stateKeptMillis());
         this.rosterWriter = new RosterWriter(appender, state, this::stateChanged);
@@ -300,7 +300,7 @@
             takingOver = false;
             EventLog.of(NodeEvent.TAKEOVER_COMPLETE)
                     .with("epoch", epoch())
-                    .with("runs", state.countRuns())
+                    .with("runs", state.workerReports().countRuns())
                     .write();
         }
     }
