Restart a gang at once when its last member has certainly ended

Cause: a run on an unresponsive worker counts as possible until its lease has expired. A member that ends as broken shows that another member has ended. If all members but those on one worker ended so, the ones there have ended. A member that was stopped or failed proves nothing, nor do two silent workers, nor a start with an unanswered attempt, which a later incarnation might still carry out; these wait as before.

--- a/core/src/main/java/io/cardamomshelf/core/schedule/SchedulerState.java
+++ b/core/src/main/java/io/cardamomshelf/core/schedule/SchedulerState.java
@@ -258,6 +258,7 @@
         if (firstDecisionMillis == NEVER) {
             firstDecisionMillis = now.monotonicMillis();
         }
+        workers.removeEndedGangMembers();
         jobs.updateStates();
         List<Order> orders = new ArrayList<>(workers.orphans().takeDueStops(now.monotonicMillis()));
         orders.addAll(ObsoleteRuns.stopOrders(jobs.all(), this, now));
--- a/core/src/main/java/io/cardamomshelf/core/schedule/TaskGroup.java
+++ b/core/src/main/java/io/cardamomshelf/core/schedule/TaskGroup.java
@@ -40,6 +40,11 @@
     private String reservedRack = "";
     private long delayedSinceMillis = NOT_DELAYED;
 
+    /** The gang's run whose members have ended as broken, and their number. */
+    private long brokenRun;
+
+    private int brokenMembers;
+
     TaskGroup(LiveJob owner, int occurrence, int step, long readyMillis) {
         this.owner = owner;
         this.occurrence = occurrence;
@@ -174,6 +179,29 @@
         return runs.size() < spec.count() || runs.values().stream().anyMatch(Run::isBeingStopped);
     }
 
+    /** Records that a member of a gang's run ended because another member had ended. */
+    void recordBrokenMember(long runNumber) {
+        brokenMembers = runNumber == brokenRun ? brokenMembers + 1 : 1;
+        brokenRun = runNumber;
+    }
+
+    /**
+     * Whether a gang's current runs certainly have ended, though their worker hasn't reported it:
+     * they are on one worker, and all other members ended because another one had.
+     */
+    boolean haveRemainingMembersEnded() {
+        if (!spec.gang() || runs.isEmpty() || runs.size() + brokenMembers != spec.count()) {
+            return false;
+        }
+        WorkerState worker = runs.values().iterator().next().worker;
+        return runs.values().stream()
+                .allMatch(
+                        run ->
+                                run.number == brokenRun
+                                        && run.worker == worker
+                                        && !run.mayBeOnNewIncarnation());
+    }
+
     String checkpoint(int index) {
         return checkpoints.getOrDefault(progressIndex(index), "");
     }
--- a/core/src/main/java/io/cardamomshelf/core/schedule/WorkerTable.java
+++ b/core/src/main/java/io/cardamomshelf/core/schedule/WorkerTable.java
@@ -136,6 +136,21 @@
         }
     }
 
+    /**
+     * Removes the runs of unresponsive workers that have certainly ended, so that their gangs can
+     * start again before the leases there expire.
+     */
+    void removeEndedGangMembers() {
+        for (WorkerState worker : workers.values()) {
+            if (worker.unresponsive && !worker.isIdle()) {
+                worker.runs().stream()
+                        .filter(run -> run.group.haveRemainingMembersEnded())
+                        .toList()
+                        .forEach(this::remove);
+            }
+        }
+    }
+
     void confirmStart(Run run, ClockReading now) {
         run.answeredMillis = now.monotonicMillis();
         if (run.phase == Run.Phase.ORDERED) {
@@ -208,6 +223,9 @@
         if (ended.end() == RunEnd.FAILED) {
             group.avoidWorker(worker.id(), now.monotonicMillis());
         }
+        if (ended.end() == RunEnd.BROKEN) {
+            group.recordBrokenMember(ended.run());
+        }
         boolean saved = group.saveCheckpoint(ended.task().index(), ended.checkpoint());
         boolean counted = group.recordEnd(ended.task(), ended.run(), ended.end());
         if ((saved || counted) && !group.owner().isEnded()) {
