Keep gangs off workers that were unreachable a moment ago

A worker that answers again gets no gangs for 2 s (their members elsewhere are lost with the one there), single tasks as before. On a mostly idle fleet the bounds of Avoidance hold, so no work waits beside free capacity for 3 s.

Tried and left out: capacity that urgent runs have vacated kept from single tasks for 1 s while urgent work preempts.

--- a/core/src/main/java/io/cardamomshelf/core/schedule/FleetObservations.java
+++ b/core/src/main/java/io/cardamomshelf/core/schedule/FleetObservations.java
@@ -14,16 +14,22 @@
 final class FleetObservations {
 
     private final StragglerDetector stragglerDetector = new StragglerDetector();
+    private final FlapDetector flapDetector = new FlapDetector();
 
     /** Updates what follows from the progress of the current runs; called before each round. */
     void update(Collection<WorkerState> workers, ClockReading now) {
         stragglerDetector.update(workers, now.monotonicMillis());
+        flapDetector.update(workers, now.monotonicMillis());
     }
 
     Set<WorkerId> stragglers() {
         return stragglerDetector.stragglers();
     }
 
+    FlapDetector flapDetector() {
+        return flapDetector;
+    }
+
     /** The cost of placing tasks on workers, by what was learnt about both. */
     HostCost hostCost() {
         return HostCost.sumOf(List.of());
--- a/core/src/main/java/io/cardamomshelf/core/schedule/RoundCapacity.java
+++ b/core/src/main/java/io/cardamomshelf/core/schedule/RoundCapacity.java
@@ -156,6 +156,7 @@
         List<WorkerState> withAvoided =
                 allowed.stream()
                         .filter(worker -> !group.avoidance(worker.id()).isExclusive(nowMillis))
+                        .filter(worker -> !isTooUnsteady(worker, group))
                         .toList();
         return fits(group, withAvoided) ? withAvoided : preferred;
     }
@@ -166,10 +167,17 @@
         List<WorkerState> notAvoided =
                 sound.stream()
                         .filter(worker -> !group.avoidance(worker.id()).isActive(nowMillis))
+                        .filter(worker -> !isTooUnsteady(worker, group))
                         .toList();
         return notAvoided.isEmpty() ? sound : notAvoided;
     }
 
+    /** Whether a worker was unresponsive a moment ago; a gang would lose all its members there. */
+    private boolean isTooUnsteady(WorkerState worker, TaskGroup group) {
+        return group.spec().gang()
+                && state.observations().flapDetector().isRecovering(worker.id(), nowMillis);
+    }
+
     /** Whether less than half of each resource of a service is in use. */
     boolean isMostlyIdle(String service) {
         return mostlyIdleServices.computeIfAbsent(service, this::hasHalfOfEachResourceFree);
--- a/core/src/main/java/io/cardamomshelf/core/schedule/SchedulerState.java
+++ b/core/src/main/java/io/cardamomshelf/core/schedule/SchedulerState.java
@@ -35,10 +35,10 @@
     private final LiveJobTable jobs = new LiveJobTable();
     private final WorkerTable workers = new WorkerTable(jobs);
     private final WorkerReports workerReports = new WorkerReports(workers);
+    private final FleetObservations observations = new FleetObservations();
     private Map<OrganisationId, Integer> guarantees = Map.of();
     private Set<DataCentreId> closedDataCentres = Set.of();
     private final DrainPolicy drainPolicy = new DrainPolicy();
-    private final FleetObservations observations = new FleetObservations();
     private final PlacementTickets tickets = new PlacementTickets();
     private final AdviceRequests adviceRequests = new AdviceRequests(this, tickets);
     private Map<JobId, WaitReason> waitReasons = Map.of();
