Limit what each organisation may have running

Callers saw: the configuration's `cap` of an organisation had no effect, so one organisation could use the whole fleet.

Cause: `cap` and `weight` weren't decoded, and nothing in a round counted what an organisation has running.

A start is now ordered only if everything that may be running of the organisation stays within its cap: runs on all workers until their end is certain, orphaned runs, starts without an answer for as long as they may be carried out (12 s), and after a change of scheduler the recorded tasks on workers that haven't reported, at most as many as fit there. The record of an ended job names the runs it still has, so that a successor counts them. Work that waits for the cap is held back before any placement, so it reserves, preempts and delays nothing; it claims its part of the cap, as does work for which capacity is held or reserved, so that narrower work behind it can't keep it waiting. Work that can never start claims nothing.

Invalid weights, caps and overages are logged (2004) and count as 0.

Ruled out: counting all recorded tasks of silent workers. Many more are recorded than started, which would block an organisation for as long as one worker of 246 is silent.

Changed tests: constructor calls with the new parts (Bounds, Organisation).

--- a/core/src/main/java/io/cardamomshelf/core/schedule/LiveJob.java
+++ b/core/src/main/java/io/cardamomshelf/core/schedule/LiveJob.java
@@ -5,10 +5,14 @@
 import io.cardamomshelf.core.task.JobProgress;
 import io.cardamomshelf.core.task.JobState;
 import io.cardamomshelf.core.task.QueuePolicy;
+import io.cardamomshelf.core.task.Resources;
 import io.cardamomshelf.core.task.StepProgress;
+import io.cardamomshelf.core.task.StepSpec;
 import io.cardamomshelf.core.task.TaskId;
 import io.cardamomshelf.core.task.TaskJob;
+import io.cardamomshelf.core.task.TaskSet;
 import java.util.ArrayList;
+import java.util.BitSet;
 import java.util.Collection;
 import java.util.List;
 import java.util.Map;
@@ -182,7 +186,7 @@
                 steps,
                 hostIntents.nextRecord(runningWorkers),
                 isEnded() ? CompletedSteps.NONE : completion.toRecord(),
-                taskIntents.nextRecord(isEnded() ? List.of() : groups.values(), allReported));
+                taskIntents.nextRecord(groups.values(), allReported));
     }
 
     /** Keeps only the mark of groups that are done and have no runs any more. */
@@ -196,6 +200,57 @@
         groups.values().removeIf(group -> group.isDone() && group.runs().isEmpty());
     }
 
+    /** What a task of a step needs; nothing if there is no such step. */
+    Resources demand(int step) {
+        List<StepSpec> steps = job.request().steps();
+        return step < steps.size() ? steps.get(step).demand() : Resources.NONE;
+    }
+
+    /**
+     * Returns by step how many tasks an earlier scheduler may have started that aren't known to run
+     * or to be done. If its record allows any task, all tasks that are due count.
+     */
+    int[] unreportedTasks(long wallMillis) {
+        int[] counts = new int[job.request().steps().size()];
+        TaskSet recorded = taskIntents.inherited();
+        if (!recorded.any()) {
+            for (TaskSet.StepTasks tasks : recorded.steps()) {
+                if (tasks.step() < counts.length) {
+                    BitSet unknown = tasks.tasks();
+                    unknown.andNot(knownTasks(tasks.occurrence(), tasks.step()));
+                    counts[tasks.step()] += unknown.cardinality();
+                }
+            }
+        } else if (state != JobState.COMPLETED) {
+            for (int occurrence = completion.nextOpen(0);
+                    occurrence < job.request().occurrences()
+                            && job.request().dueMillis(occurrence) <= wallMillis;
+                    occurrence = completion.nextOpen(occurrence + 1)) {
+                for (int step = 0; step < counts.length; step++) {
+                    counts[step] +=
+                            job.request().steps().get(step).count()
+                                    - knownTasks(occurrence, step).cardinality();
+                }
+            }
+        }
+        return counts;
+    }
+
+    /** The tasks of a step that are done or have a known run. */
+    private BitSet knownTasks(int occurrence, int step) {
+        GroupKey key = new GroupKey(occurrence, step);
+        BitSet known = new BitSet();
+        if (groups.containsKey(key)) {
+            known.or(groups.get(key).progress().done());
+            groups.get(key).runs().forEach(run -> known.set(run.task.index()));
+        } else if (restoredSteps.containsKey(key)) {
+            known.or(restoredSteps.get(key).done());
+        } else if (completion.isDone(occurrence, step)) {
+            known.set(0, job.request().steps().get(step).count());
+        }
+        return known;
+    }
+
     /** The accelerators that its widest step needs at once. */
     long peakAccelerators() {
         return job.request().steps().stream()
--- a/core/src/main/java/io/cardamomshelf/core/schedule/OrphanedRuns.java
+++ b/core/src/main/java/io/cardamomshelf/core/schedule/OrphanedRuns.java
@@ -46,6 +46,13 @@
         return stopOrderedMillis.containsKey(worker);
     }
 
+    /** The tasks of all orphaned runs; a task can have several. */
+    List<TaskId> tasks() {
+        return stopOrderedMillis.values().stream()
+                .flatMap(stops -> stops.keySet().stream().map(Order.Stop::task))
+                .toList();
+    }
+
     /** Returns the stops that are due, and records them as ordered now. */
     List<Order> takeDueStops(long nowMillis) {
         List<Order> orders = new ArrayList<>();
--- a/core/src/main/java/io/cardamomshelf/core/schedule/Round.java
+++ b/core/src/main/java/io/cardamomshelf/core/schedule/Round.java
@@ -29,6 +29,7 @@
     private final TaskPlacer placer;
     private final LocalityPolicy localityPolicy;
     private final Reservations reservations;
+    private final OrganisationCaps caps;
     private final List<Order> orders = new ArrayList<>();
     private final Map<JobId, WaitReason> waitReasons = new HashMap<>();
 
@@ -40,6 +41,7 @@
         Forecast forecast = new Forecast(capacity, now);
         this.localityPolicy = new LocalityPolicy(forecast, now);
         this.reservations = new Reservations(capacity, forecast, now);
+        this.caps = state.organisations().caps(state.organisations().usage(now));
     }
 
     List<Order> decide(Collection<LiveJob> jobs) {
@@ -70,6 +72,11 @@
         return capacity.heldAccelerators();
     }
 
+    /** How many groups wait for the cap of their organisation. */
+    int groupsOverCap() {
+        return caps.waitingGroups();
+    }
+
     /** The organisations whose urgent jobs together fit into their guarantee. */
     private Set<OrganisationId> organisationsWithinGuarantee(Collection<LiveJob> jobs) {
         Map<OrganisationId, Long> requested = new HashMap<>();
@@ -78,12 +85,16 @@
                 requested.merge(job.job().organisation(), job.peakAccelerators(), Long::sum);
             }
         }
-        requested.entrySet().removeIf(entry -> entry.getValue() > state.guarantee(entry.getKey()));
+        requested
+                .entrySet()
+                .removeIf(
+                        entry ->
+                                entry.getValue() > state.organisations().guarantee(entry.getKey()));
         return requested.keySet();
     }
 
     private void place(TaskGroup group) {
-        List<Integer> waitingTasks = tasksWithoutRuns(group);
+        List<Integer> waitingTasks = tasksWithinCap(group, tasksWithoutRuns(group));
         if (waitingTasks.isEmpty()) {
             return;
         }
@@ -119,6 +130,21 @@
         return isBlocked ? List.of() : withoutRuns;
     }
 
+    /**
+     * Returns those of a group's tasks that may start under its organisation's cap. A group that
+     * waits only for the cap doesn't count as waiting beside idle capacity.
+     */
+    private List<Integer> tasksWithinCap(TaskGroup group, List<Integer> tasks) {
+        int allowed = tasks.isEmpty() ? 0 : caps.allowedTasks(group, tasks.size());
+        if (allowed < tasks.size()) {
+            waitReasons.put(group.owner().job().id(), WaitReason.OVER_CAP);
+            if (allowed == 0) {
+                group.updateIdleDelay(false, now.monotonicMillis());
+            }
+        }
+        return tasks.subList(0, allowed);
+    }
+
     private void placeOneByOne(TaskGroup group, List<Integer> waitingTasks) {
         for (int index : waitingTasks) {
             if (!place(group, List.of(index))) {
@@ -193,7 +219,7 @@
                         : Optional.empty();
         if (recordedHosts.isEmpty()) {
             addIntents(group, hosts);
-            hosts.forEach(host -> capacity.hold(host, group.spec().allocation()));
+            hold(group, hosts);
         }
         return recordedHosts;
     }
@@ -255,6 +281,7 @@
             }
         }
         reservations.reserve(group, start.get(), policy(group).priority());
+        caps.claim(group, count);
         if (!group.owner().hostIntents().hasIntentForNextStart()) {
             addIntents(group, start.get().hosts());
         }
@@ -310,13 +337,20 @@
     /** Holds the planned capacity for the group and orders the stops that free it. */
     private void preempt(TaskGroup group, Preemption.Plan plan) {
         addIntents(group, plan.hosts());
-        plan.hosts().forEach(host -> capacity.hold(host, group.spec().allocation()));
+        hold(group, plan.hosts());
         for (Run victim : plan.victims()) {
             state.stop(victim, Order.StopReason.RECLAIMED, now).ifPresent(orders::add);
         }
     }
 
+    /** Keeps capacity, and the organisation's cap, for tasks of a group that start soon. */
+    private void hold(TaskGroup group, List<WorkerState> hosts) {
+        hosts.forEach(host -> capacity.hold(host, group.spec().allocation()));
+        caps.claim(group, hosts.size());
+    }
+
     private void start(TaskGroup group, List<Integer> tasks, List<WorkerState> hosts) {
+        caps.recordStarts(group, tasks.size());
         group.owner().hostIntents().markStarted(ids(hosts));
         long run = state.nextRunNumber();
         for (int i = 0; i < tasks.size(); i++) {
--- a/core/src/main/java/io/cardamomshelf/core/schedule/Run.java
+++ b/core/src/main/java/io/cardamomshelf/core/schedule/Run.java
@@ -83,10 +83,21 @@
         unansweredMillis = nowMillis;
     }
 
-    private boolean wasUnanswered() {
+    boolean wasUnanswered() {
         return startUnanswered || unansweredMillis != NEVER;
     }
 
+    /** Whether an attempt at its start that got no answer may still be carried out. */
+    boolean mayStillStart(long nowMillis) {
+        return unansweredMillis != NEVER
+                && nowMillis - unansweredMillis <= LeaseClock.MAX_CALL_DELAY_MILLIS;
+    }
+
+    /** When an attempt at its start last got no answer. */
+    long unansweredMillis() {
+        return unansweredMillis;
+    }
+
     /** Whether an attempt at its start got no answer at this time or later. */
     boolean isUnansweredSince(long millis) {
         return unansweredMillis >= millis;
--- a/core/src/main/java/io/cardamomshelf/core/schedule/SchedulerState.java
+++ b/core/src/main/java/io/cardamomshelf/core/schedule/SchedulerState.java
@@ -35,7 +35,7 @@
     private final LiveJobTable jobs = new LiveJobTable();
     private final WorkerTable workers = new WorkerTable(jobs);
     private final WorkerReports workerReports = new WorkerReports(workers);
-    private Map<OrganisationId, Integer> guarantees = Map.of();
+    private final OrganisationTable organisations;
     private Set<DataCentreId> closedDataCentres = Set.of();
     private final DrainPolicy drainPolicy = new DrainPolicy();
     private final FleetObservations observations = new FleetObservations();
@@ -43,6 +43,7 @@
     private final AdviceRequests adviceRequests = new AdviceRequests(this, tickets);
     private Map<JobId, WaitReason> waitReasons = Map.of();
     private int heldAccelerators;
+    private int groupsOverCap;
     private long lastRunNumber;
     private boolean loadingInherited = true;
     private long firstDecisionMillis = NEVER;
@@ -53,7 +54,18 @@
      * @param initialRunNumber a number above those of all earlier runs
      */
     public SchedulerState(long initialRunNumber) {
+        this(initialRunNumber, 0);
+    }
+
+    /**
+     * Creates a state without jobs and workers.
+     *
+     * @param initialRunNumber a number above those of all earlier runs
+     * @param quotaOverage the fraction of its cap by which an organisation may exceed it
+     */
+    public SchedulerState(long initialRunNumber, double quotaOverage) {
         this.lastRunNumber = initialRunNumber;
+        this.organisations = new OrganisationTable(jobs, workers, quotaOverage);
     }
 
     /** Ends the loading of an earlier scheduler's jobs and workers; later ones count as new. */
@@ -66,12 +78,12 @@
      * Applies the configuration.
      *
      * @param newQueues the policies by queue name, not null
-     * @param newGuarantees the guaranteed accelerators by organisation, not null
+     * @param newLimits the limits by organisation, not null
      */
     public void configure(
-            Map<String, QueuePolicy> newQueues, Map<OrganisationId, Integer> newGuarantees) {
+            Map<String, QueuePolicy> newQueues, Map<OrganisationId, OrganisationLimits> newLimits) {
         jobs.configure(newQueues);
-        guarantees = Map.copyOf(newGuarantees);
+        organisations.configure(newLimits);
     }
 
     /**
@@ -267,6 +279,7 @@
         orders.addAll(round.decide(jobs.all()));
         waitReasons = Map.copyOf(round.waitReasons());
         heldAccelerators = round.heldAccelerators();
+        groupsOverCap = round.groupsOverCap();
         return orders;
     }
 
@@ -304,7 +317,7 @@
      * @return the load as of the last round, never null
      */
     public FleetLoad load(ClockReading now) {
-        return FleetLoad.of(this, jobs.all(), heldAccelerators, now);
+        return FleetLoad.of(this, jobs.all(), heldAccelerators, groupsOverCap, now);
     }
 
     /**
@@ -381,8 +394,8 @@
         return jobs.policy(job);
     }
 
-    int guarantee(OrganisationId organisation) {
-        return guarantees.getOrDefault(organisation, 0);
+    OrganisationTable organisations() {
+        return organisations;
     }
 
     long nextRunNumber() {
--- a/core/src/main/java/io/cardamomshelf/core/schedule/TaskIntents.java
+++ b/core/src/main/java/io/cardamomshelf/core/schedule/TaskIntents.java
@@ -48,6 +48,11 @@
         this.latest = inherited;
     }
 
+    /** The tasks that an earlier scheduler may have started. */
+    TaskSet inherited() {
+        return inherited;
+    }
+
     /** Whether an earlier scheduler may have started a task. */
     boolean isInherited(TaskGroup group, int index) {
         return inherited.contains(group.occurrence(), group.step(), index);
@@ -75,7 +80,8 @@
         int inAdvance = hasRuns ? MAX_IN_ADVANCE : MAX_IN_ADVANCE_BEFORE_START;
         List<TaskSet.StepTasks> steps = new ArrayList<>();
         for (TaskGroup group : groups) {
-            List<Integer> waiting = group.isDone() ? List.of() : group.waitingTasks();
+            boolean isOver = group.isDone() || group.owner().isEnded();
+            List<Integer> waiting = isOver ? List.of() : group.waitingTasks();
             int unitSize = group.isPlacedTogether() ? group.spec().count() : 1;
             int units = Math.min(inAdvance, waiting.size() / unitSize);
             inAdvance -= units;
--- a/core/src/main/java/io/cardamomshelf/core/schedule/WaitReason.java
+++ b/core/src/main/java/io/cardamomshelf/core/schedule/WaitReason.java
@@ -15,5 +15,7 @@
     /** Their host intents are being stored, which has to be done before the first start. */
     ANNOUNCING,
     /** After a change of scheduler it isn't known yet whether they are already running. */
-    TAKEOVER
+    TAKEOVER,
+    /** Their organisation may not have more running at present. */
+    OVER_CAP
 }
--- a/core/src/main/java/io/cardamomshelf/core/schedule/WorkerTable.java
+++ b/core/src/main/java/io/cardamomshelf/core/schedule/WorkerTable.java
@@ -28,6 +28,9 @@
     private final Set<WorkerId> unreported = new LinkedHashSet<>();
     private final OrphanedRuns orphans = new OrphanedRuns();
 
+    /** Removed runs whose start got no answer and may be carried out by a restarted worker. */
+    private final Set<Run> lateStarts = new LinkedHashSet<>();
+
     WorkerTable(LiveJobTable jobs) {
         this.jobs = jobs;
     }
@@ -146,9 +149,19 @@
         }
     }
 
+    /** The removed runs whose start may still be carried out. */
+    Collection<Run> lateStarts(ClockReading now) {
+        lateStarts.removeIf(run -> !run.mayStillStart(now.monotonicMillis()));
+        return lateStarts;
+    }
+
     void remove(Run run) {
         run.worker.removeRun(run);
         run.group.removeRun(run);
+        if (run.wasUnanswered()) {
+            lateStarts.removeIf(earlier -> !earlier.mayStillStart(run.unansweredMillis()));
+            lateStarts.add(run);
+        }
     }
 
     Optional<Run> find(Order order) {
--- a/core/src/main/java/io/cardamomshelf/core/task/JobProgress.java
+++ b/core/src/main/java/io/cardamomshelf/core/task/JobProgress.java
@@ -46,6 +46,15 @@
         tasks = tasks == null ? TaskSet.ANY : tasks;
     }
 
+    /**
+     * Returns whether the job may have runs by this record, also if it has ended.
+     *
+     * @return false if it has none
+     */
+    public boolean mayHaveRuns() {
+        return tasks.any() ? state != JobState.COMPLETED : !tasks.steps().isEmpty();
+    }
+
     /**
      * Creates the progress of a job of which no step is done and any task may have runs.
      *
--- a/core/src/main/java/io/cardamomshelf/core/task/Resources.java
+++ b/core/src/main/java/io/cardamomshelf/core/task/Resources.java
@@ -63,6 +63,53 @@
                 accelerators - other.accelerators);
     }
 
+    /**
+     * Adds an amount; a sum beyond the range is the largest number.
+     *
+     * @param other the amount, not null
+     * @return the sum, never null
+     */
+    public Resources plusSaturated(Resources other) {
+        return new Resources(
+                saturate(cpuMillis + other.cpuMillis),
+                saturate(memoryMb + other.memoryMb),
+                (int) Math.min(Integer.MAX_VALUE, (long) accelerators + other.accelerators));
+    }
+
+    /**
+     * Multiplies this amount; a product beyond the range is the largest number.
+     *
+     * @param count the factor, 0 or more
+     * @return the product, never null
+     */
+    public Resources timesSaturated(int count) {
+        return new Resources(
+                multiply(cpuMillis, count),
+                multiply(memoryMb, count),
+                (int) Math.min(Integer.MAX_VALUE, (long) accelerators * count));
+    }
+
+    /**
+     * Returns the smaller of two amounts, each part by itself.
+     *
+     * @param other the other amount, not null
+     * @return the smaller parts, never null
+     */
+    public Resources min(Resources other) {
+        return new Resources(
+                Math.min(cpuMillis, other.cpuMillis),
+                Math.min(memoryMb, other.memoryMb),
+                Math.min(accelerators, other.accelerators));
+    }
+
+    private static long saturate(long sum) {
+        return sum < 0 ? Long.MAX_VALUE : sum;
+    }
+
+    private static long multiply(long part, int count) {
+        return count > 0 && part > Long.MAX_VALUE / count ? Long.MAX_VALUE : part * count;
+    }
+
     /**
      * Returns whether this amount fits into a capacity.
      *
--- a/core/src/test/java/io/cardamomshelf/core/schedule/SchedulerFixture.java
+++ b/core/src/test/java/io/cardamomshelf/core/schedule/SchedulerFixture.java
@@ -28,7 +28,9 @@
 
     static final Resources WORKER_CAPACITY = Resources.of(128_000, 512_000, 8);
     static final OrganisationId ORGANISATION = OrganisationId.of("circle");
+    static final OrganisationId OTHER_ORGANISATION = OrganisationId.of("square");
     static final long FIRST_RUN_NUMBER = 1_000_000;
+    static final double QUOTA_OVERAGE = 0.1;
 
     /**
      * The progress of a queued job whose stored host intent allows all workers, so it starts at
@@ -37,7 +39,7 @@
     static final JobProgress QUEUED_ANYWHERE =
             new JobProgress(JobState.QUEUED, List.of(), RunHosts.ANYWHERE);
 
-    final SchedulerState state = new SchedulerState(FIRST_RUN_NUMBER);
+    final SchedulerState state = new SchedulerState(FIRST_RUN_NUMBER, QUOTA_OVERAGE);
     private final Map<WorkerId, Long> endNumbers = new HashMap<>();
     private final Map<WorkerId, Long> incarnations = new HashMap<>();
     private long nowMillis = 10_000;
@@ -226,12 +228,32 @@
     }
 
     SchedulerFixture submit(int number, int priority, JobRequest request) {
+        return submit(ORGANISATION, number, priority, request);
+    }
+
+    SchedulerFixture submitForOther(int number, int priority, StepBuilder step) {
+        JobRequest request = new JobRequest("x", List.of(step.build()), 0, 0, 0);
+        return submit(OTHER_ORGANISATION, number, priority, request);
+    }
+
+    private SchedulerFixture submit(
+            OrganisationId organisation, int number, int priority, JobRequest request) {
         state.addJob(
-                new TaskJob(job(number), ORGANISATION, queue(priority), nowMillis, request),
+                new TaskJob(job(number), organisation, queue(priority), nowMillis, request),
                 Optional.of(QUEUED_ANYWHERE));
         return this;
     }
 
+    /** Limits the accelerators that the fixture's organisation may have running. */
+    SchedulerFixture capAccelerators(int cap) {
+        return configure(new OrganisationLimits(0, 0, Resources.of(0, 0, cap)));
+    }
+
+    SchedulerFixture configure(OrganisationLimits limits) {
+        state.configure(Map.of(), Map.of(ORGANISATION, limits));
+        return this;
+    }
+
     List<Order> decide() {
         return state.decide(now());
     }
--- a/node/src/main/java/io/cardamomshelf/node/event/NodeEvent.java
+++ b/node/src/main/java/io/cardamomshelf/node/event/NodeEvent.java
@@ -36,6 +36,11 @@
     EVACUATION_CHANGED(2002, "The operators withdrew or restored a data centre."),
     /** A record is ignored. */
     RECORD_IGNORED(2003, "A record of the store can't be decoded or isn't used by this service."),
+    /** A value of the configuration or the settings isn't valid. */
+    VALUE_IGNORED(
+            2004,
+            "A value of the configuration or the settings isn't valid; the line gives the default"
+                    + " that is used instead."),
     /** A stream of the store can't be read. */
     STORE_LOST(2101, "A stream of the store can't be read; the last state stays in use."),
     /** A stream of the store can be read again. */
--- a/node/src/main/java/io/cardamomshelf/node/port/Configuration.java
+++ b/node/src/main/java/io/cardamomshelf/node/port/Configuration.java
@@ -2,7 +2,9 @@
 
 import io.cardamomshelf.core.base.Checks;
 import io.cardamomshelf.core.base.OrganisationId;
+import io.cardamomshelf.core.schedule.OrganisationLimits;
 import io.cardamomshelf.core.task.QueuePolicy;
+import io.cardamomshelf.core.task.Resources;
 import java.util.List;
 
 /**
@@ -39,12 +41,33 @@
      * @param id its identifier, not null
      * @param keys the API keys of its callers, not null
      * @param guaranteedAccelerators how many accelerators its urgent jobs may reclaim at any time
+     * @param weight its relative share while there is more work than capacity, 0 if none is set
+     * @param cap the most that it may have running, not null; a part of 0 is unlimited
      */
-    public record Organisation(OrganisationId id, List<String> keys, int guaranteedAccelerators) {
+    public record Organisation(
+            OrganisationId id,
+            List<String> keys,
+            int guaranteedAccelerators,
+            double weight,
+            Resources cap) {
 
-        /** Creates an organisation. */
+        /**
+         * Creates an organisation.
+         *
+         * @throws IllegalArgumentException if the cap is missing
+         */
         public Organisation {
             keys = List.copyOf(keys);
+            Checks.notNull("cap", cap);
+        }
+
+        /**
+         * Returns what it is guaranteed and what it may use.
+         *
+         * @return the limits, never null
+         */
+        public OrganisationLimits limits() {
+            return new OrganisationLimits(guaranteedAccelerators, weight, cap);
         }
 
         @Override
--- a/node/src/main/java/io/cardamomshelf/node/schedule/SchedulerSettings.java
+++ b/node/src/main/java/io/cardamomshelf/node/schedule/SchedulerSettings.java
@@ -3,15 +3,17 @@
 import io.cardamomshelf.node.settings.NodeSettings;
 
 /**
- * The scheduler's time limits, derived from the node's settings.
+ * The scheduler's limits, derived from the node's settings.
  *
  * <p>Immutable and thread-safe.
  *
  * @param leaseMillis how long runs continue without a renewal of their lease, in milliseconds
  * @param maxLeaseMillis the longest lease that a worker grants, in milliseconds
  * @param stateKeptMillis how long the records of an ended job are kept, in milliseconds
+ * @param quotaOverage the fraction of its cap by which an organisation may exceed it
  */
-record SchedulerSettings(long leaseMillis, long maxLeaseMillis, long stateKeptMillis) {
+record SchedulerSettings(
+        long leaseMillis, long maxLeaseMillis, long stateKeptMillis, double quotaOverage) {
 
     /**
      * The length of a lease, in milliseconds, unless the allowed maximum is shorter. Runs survive
@@ -27,6 +29,7 @@
         return new SchedulerSettings(
                 Math.min(LEASE_MILLIS, bounds.maxLeaseMillis()),
                 bounds.maxLeaseMillis(),
-                bounds.stateKeptMillis() + KEPT_MARGIN_MILLIS);
+                bounds.stateKeptMillis() + KEPT_MARGIN_MILLIS,
+                bounds.quotaOverage());
     }
 }
--- a/node/src/main/java/io/cardamomshelf/node/schedule/SchedulerTerm.java
+++ b/node/src/main/java/io/cardamomshelf/node/schedule/SchedulerTerm.java
@@ -6,6 +6,7 @@
 import io.cardamomshelf.core.schedule.ClockReading;
 import io.cardamomshelf.core.schedule.FleetLoad;
 import io.cardamomshelf.core.schedule.Order;
+import io.cardamomshelf.core.schedule.OrganisationLimits;
 import io.cardamomshelf.core.schedule.SchedulerState;
 import io.cardamomshelf.core.schedule.Voters;
 import io.cardamomshelf.core.schedule.WorkerInfo;
@@ -26,6 +27,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.stream.Collectors;
 
@@ -88,7 +90,9 @@
         this.operators = operators;
         this.workers = workers;
         this.onDeposed = onDeposed;
-        this.state = new SchedulerState(context.epoch() * RUNS_PER_EPOCH);
+        this.state =
+                new SchedulerState(
+                        context.epoch() * RUNS_PER_EPOCH, context.settings().quotaOverage());
         this.links = new WorkerLinks(context, state, workers, this);
         this.adviceFetcher = new AdviceFetcher(context, state, this::stateChanged);
         this.roundReporter = new RoundReporter(context, state, jobs);
@@ -107,6 +111,7 @@
             if (entry.storedProgress().isPresent()) {
                 roundReporter.markStarted(entry.job().orElseThrow().id());
             }
+            addEndedJobWithRuns(entry);
             jobChanged(entry);
         }
         links.begin(jobs.roster());
@@ -159,6 +164,15 @@
         operators.configuration().ifPresent(this::configure);
     }
 
+    /**
+     * Adds a job that ended before this term, as runs of it may still count for its organisation.
+     */
+    private void addEndedJobWithRuns(JobsView.Entry entry) {
+        entry.storedProgress()
+                .filter(stored -> stored.state().isEnded() && stored.mayHaveRuns())
+                .ifPresent(stored -> state.addJob(entry.job().orElseThrow(), Optional.of(stored)));
+    }
+
     void jobChanged(JobsView.Entry entry) {
         if (entry.job().isEmpty() || entry.progress().state().isEnded()) {
             return;
@@ -257,14 +271,11 @@
             queues.put(route.policy().name(), route.policy());
             links.useService(route.policy().service());
         }
-        Map<OrganisationId, Integer> guarantees = new HashMap<>();
+        Map<OrganisationId, OrganisationLimits> limits = new HashMap<>();
         configuration
                 .organisations()
-                .forEach(
-                        organisation ->
-                                guarantees.put(
-                                        organisation.id(), organisation.guaranteedAccelerators()));
-        state.configure(queues, guarantees);
+                .forEach(organisation -> limits.put(organisation.id(), organisation.limits()));
+        state.configure(queues, limits);
         stateChanged();
     }
 
--- a/node/src/main/java/io/cardamomshelf/node/settings/NodeSettings.java
+++ b/node/src/main/java/io/cardamomshelf/node/settings/NodeSettings.java
@@ -29,7 +29,7 @@
         Bounds bounds) {
 
     /**
-     * The time bounds that the platform sets and the service must keep.
+     * The bounds that the platform sets and the service must keep.
      *
      * @param revokeMillis the time after which a revoked key must not work, in milliseconds
      * @param visibleMillis the time after which an accepted job must be known to every instance, in
@@ -37,18 +37,20 @@
      * @param graceMillis the time between SIGTERM and SIGKILL, in milliseconds
      * @param maxLeaseMillis the longest lease that workers grant, in milliseconds
      * @param stateKeptMillis how long the state of an ended job must be available, in milliseconds
+     * @param quotaOverage the fraction of its cap by which an organisation may exceed it, 0 or more
      */
     public record Bounds(
             long revokeMillis,
             long visibleMillis,
             long graceMillis,
             long maxLeaseMillis,
-            long stateKeptMillis) {
+            long stateKeptMillis,
+            double quotaOverage) {
 
         /**
          * Creates bounds.
          *
-         * @throws IllegalArgumentException if a time isn't positive
+         * @throws IllegalArgumentException if a time isn't positive or the overage is negative
          */
         public Bounds {
             Checks.range("revokeMillis", revokeMillis, 1, Long.MAX_VALUE);
@@ -56,6 +58,10 @@
             Checks.range("graceMillis", graceMillis, 1, Long.MAX_VALUE);
             Checks.range("maxLeaseMillis", maxLeaseMillis, 1, Long.MAX_VALUE);
             Checks.range("stateKeptMillis", stateKeptMillis, 1, Long.MAX_VALUE);
+            if (!(quotaOverage >= 0 && quotaOverage < Double.POSITIVE_INFINITY)) {
+                throw new IllegalArgumentException(
+                        "quotaOverage: " + quotaOverage + " is not 0 or more");
+            }
         }
     }
 
--- a/node/src/test/java/io/cardamomshelf/node/ingress/CallersServerTest.java
+++ b/node/src/test/java/io/cardamomshelf/node/ingress/CallersServerTest.java
@@ -136,7 +136,7 @@
                             time, store, Stream.JOBS, jobs, time, new StreamFollower.Pace(600, 80)),
                     new WorkersView(new Decoder(), new NoListener()),
                     time,
-                    new NodeSettings.Bounds(5_000, 3_000, 6_000, 10_000, 120_000),
+                    new NodeSettings.Bounds(5_000, 3_000, 6_000, 10_000, 120_000, 0),
                     new ServiceMetrics(),
                     () -> 0);
 
--- a/node/src/test/java/io/cardamomshelf/node/ingress/FreshnessTest.java
+++ b/node/src/test/java/io/cardamomshelf/node/ingress/FreshnessTest.java
@@ -36,7 +36,7 @@
                     new StreamFollower.Pace(1_000, 0));
     private final Freshness freshness =
             new Freshness(
-                    new NodeSettings.Bounds(REVOKE_MILLIS, 3_000, 6_000, 10_000, 120_000),
+                    new NodeSettings.Bounds(REVOKE_MILLIS, 3_000, 6_000, 10_000, 120_000, 0),
                     follower::proofAgeMillis,
                     follower::proofAgeMillis);
 
--- a/node/src/test/java/io/cardamomshelf/node/ingress/JobServiceTest.java
+++ b/node/src/test/java/io/cardamomshelf/node/ingress/JobServiceTest.java
@@ -144,7 +144,7 @@
                     time, store, Stream.JOBS, jobs, time, new StreamFollower.Pace(600, 80));
     private final Freshness freshness =
             new Freshness(
-                    new NodeSettings.Bounds(5_000, 3_000, 6_000, 10_000, 120_000),
+                    new NodeSettings.Bounds(5_000, 3_000, 6_000, 10_000, 120_000, 0),
                     () -> 0,
                     follower::proofAgeMillis);
     private final JobService service =
--- a/node/src/test/java/io/cardamomshelf/node/ingress/RouteTableTest.java
+++ b/node/src/test/java/io/cardamomshelf/node/ingress/RouteTableTest.java
@@ -4,6 +4,7 @@
 
 import io.cardamomshelf.core.base.OrganisationId;
 import io.cardamomshelf.core.task.QueuePolicy;
+import io.cardamomshelf.core.task.Resources;
 import io.cardamomshelf.node.port.Configuration;
 import java.util.List;
 import java.util.Optional;
@@ -32,7 +33,8 @@
     }
 
     private static Configuration.Organisation organisation(String name, String... keys) {
-        return new Configuration.Organisation(OrganisationId.of(name), List.of(keys), 0);
+        return new Configuration.Organisation(
+                OrganisationId.of(name), List.of(keys), 0, 0, Resources.NONE);
     }
 
     private Optional<String> queue(String host, String path) {
--- a/node/src/test/java/io/cardamomshelf/node/schedule/SchedulingFixture.java
+++ b/node/src/test/java/io/cardamomshelf/node/schedule/SchedulingFixture.java
@@ -221,7 +221,7 @@
                 UNUSED_ENDPOINT,
                 UNUSED_ENDPOINT,
                 cores,
-                new NodeSettings.Bounds(5_000, 3_000, 6_000, maxLeaseMillis, stateKeptMillis));
+                new NodeSettings.Bounds(5_000, 3_000, 6_000, maxLeaseMillis, stateKeptMillis, 0));
     }
 
     /** Stores the configuration, and the registry entries of workers with these names. */
