Refuse jobs that their organisation's cap never allows

Callers saw: a job with a task or a gang larger than its organisation's cap was accepted and waited until its caller gave up.

Cause: admission compared jobs with workers only, not with the cap.

Such a job is answered with 429, a reason and Retry-After, before anything is stored. One that needs more than the cap, but not more than the cap with its overage, is accepted, as it starts while nothing else of the organisation runs.

Changed test: JobServiceTest passes the new check.

--- a/core/src/test/java/io/cardamomshelf/core/schedule/FeasibilityTest.java
+++ b/core/src/test/java/io/cardamomshelf/core/schedule/FeasibilityTest.java
@@ -2,12 +2,14 @@
 
 import static io.cardamomshelf.core.schedule.SchedulerFixture.step;
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.cardamomshelf.core.base.DataCentreId;
 import io.cardamomshelf.core.base.Endpoint;
 import io.cardamomshelf.core.base.WorkerId;
 import io.cardamomshelf.core.task.JobRequest;
+import io.cardamomshelf.core.task.Resources;
 import java.util.List;
 import java.util.Optional;
 import org.junit.jupiter.api.Nested;
@@ -42,6 +44,33 @@
         return Feasibility.obstacle(request, "rota", workers);
     }
 
+    private static boolean isAllowed(int cap, SchedulerFixture.StepBuilder step) {
+        JobRequest request = new JobRequest("x", List.of(step.build()), 0, 0, 0);
+        OrganisationLimits limits = new OrganisationLimits(0, 0, Resources.of(0, 0, cap));
+        return Feasibility.capObstacle(request, limits, 0.1).isEmpty();
+    }
+
+    @Nested
+    class UnderACap {
+
+        @Test
+        void aGangMayNeedTheCapWithItsOverage() {
+            assertTrue(isAllowed(10, step(11, 1, 1, 1).gang()));
+            assertFalse(isAllowed(10, step(12, 1, 1, 1).gang()));
+        }
+
+        @Test
+        void eachOfManySingleTasksCounts() {
+            assertTrue(isAllowed(10, step(5_000, 1, 1, 8)));
+            assertFalse(isAllowed(7, step(1, 1, 1, 8)));
+        }
+
+        @Test
+        void nothingIsRefusedIfThereIsNoCap() {
+            assertTrue(isAllowed(0, step(5_000, Long.MAX_VALUE, 1, 8).gang()));
+        }
+    }
+
     @Nested
     class AJob {
 
--- a/node/src/main/java/io/cardamomshelf/node/ingress/CallersServer.java
+++ b/node/src/main/java/io/cardamomshelf/node/ingress/CallersServer.java
@@ -2,6 +2,7 @@
 
 import io.cardamomshelf.core.base.Endpoint;
 import io.cardamomshelf.core.base.OrganisationId;
+import io.cardamomshelf.core.schedule.Feasibility;
 import io.cardamomshelf.node.Clock;
 import io.cardamomshelf.node.Timers;
 import io.cardamomshelf.node.event.EventLog;
@@ -97,7 +98,18 @@
                 new CallerAppender(Timers.of(vertx), store, clock, freshness::isStoreReachable);
         this.jobService =
                 new JobService(
-                        protocol, jobs, jobsFollower::catchUp, workers, appender, freshness, clock);
+                        protocol,
+                        jobs,
+                        jobsFollower::catchUp,
+                        workers,
+                        (organisation, request) ->
+                                Feasibility.capObstacle(
+                                        request,
+                                        operators.limits(organisation),
+                                        bounds.quotaOverage()),
+                        appender,
+                        freshness,
+                        clock);
     }
 
     /**
--- a/node/src/main/java/io/cardamomshelf/node/ingress/JobService.java
+++ b/node/src/main/java/io/cardamomshelf/node/ingress/JobService.java
@@ -1,6 +1,7 @@
 package io.cardamomshelf.node.ingress;
 
 import io.cardamomshelf.core.base.JobId;
+import io.cardamomshelf.core.base.OrganisationId;
 import io.cardamomshelf.core.schedule.Feasibility;
 import io.cardamomshelf.core.task.JobRequest;
 import io.cardamomshelf.core.task.JobState;
@@ -31,8 +32,8 @@
 final class JobService {
 
     /**
-     * The retry time for a job that no registered worker could run, in seconds. New workers
-     * register within about this time.
+     * The retry time for a job that no registered worker could run, or that its organisation's cap
+     * never allows, in seconds. New workers register within about this time.
      */
     private static final int INFEASIBLE_RETRY_SECONDS = 10;
 
@@ -53,10 +54,19 @@
         Uni<Boolean> catchUp(long timeoutMillis);
     }
 
+    /** Compares jobs with the caps in the configuration in force. */
+    @FunctionalInterface
+    interface Caps {
+
+        /** Returns why an organisation's cap never allows a job, empty if it does. */
+        Optional<String> obstacle(OrganisationId organisation, JobRequest request);
+    }
+
     private final CallersProtocol protocol;
     private final JobsView jobs;
     private final Refresh refresh;
     private final WorkersView workers;
+    private final Caps caps;
     private final CallerAppender appender;
     private final Freshness freshness;
     private final Clock clock;
@@ -66,6 +76,7 @@
             JobsView jobs,
             Refresh refresh,
             WorkersView workers,
+            Caps caps,
             CallerAppender appender,
             Freshness freshness,
             Clock clock) {
@@ -73,6 +84,7 @@
         this.jobs = jobs;
         this.refresh = refresh;
         this.workers = workers;
+        this.caps = caps;
         this.appender = appender;
         this.freshness = freshness;
         this.clock = clock;
@@ -100,8 +112,8 @@
             return refusal(Answer.BAD_REQUEST, e.getMessage());
         }
         Optional<String> obstacle =
-                Feasibility.obstacle(
-                        request, call.route().policy().service(), workers.registered());
+                Feasibility.obstacle(request, call.route().policy().service(), workers.registered())
+                        .or(() -> caps.obstacle(call.organisation(), request));
         if (obstacle.isPresent()) {
             return completed(
                     new Answer(
--- a/node/src/main/java/io/cardamomshelf/node/store/OperatorsView.java
+++ b/node/src/main/java/io/cardamomshelf/node/store/OperatorsView.java
@@ -1,6 +1,8 @@
 package io.cardamomshelf.node.store;
 
 import io.cardamomshelf.core.base.DataCentreId;
+import io.cardamomshelf.core.base.OrganisationId;
+import io.cardamomshelf.core.schedule.OrganisationLimits;
 import io.cardamomshelf.node.event.EventLog;
 import io.cardamomshelf.node.event.NodeEvent;
 import io.cardamomshelf.node.port.Configuration;
@@ -47,6 +49,21 @@
         return Optional.ofNullable(configuration);
     }
 
+    /**
+     * Returns the limits of an organisation in the configuration in force.
+     *
+     * @param id the organisation, not null
+     * @return its limits, never null
+     */
+    public OrganisationLimits limits(OrganisationId id) {
+        return configuration().stream()
+                .flatMap(current -> current.organisations().stream())
+                .filter(organisation -> organisation.id().equals(id))
+                .map(Configuration.Organisation::limits)
+                .findFirst()
+                .orElse(OrganisationLimits.NONE);
+    }
+
     /**
      * Returns the data centres in which nothing may start.
      *
--- a/node/src/test/java/io/cardamomshelf/node/ingress/JobServiceTest.java
+++ b/node/src/test/java/io/cardamomshelf/node/ingress/JobServiceTest.java
@@ -147,12 +147,14 @@
                     new NodeSettings.Bounds(5_000, 3_000, 6_000, 10_000, 120_000, 0),
                     () -> 0,
                     follower::proofAgeMillis);
+    private Optional<String> capObstacle = Optional.empty();
     private final JobService service =
             new JobService(
                     new Protocol(),
                     jobs,
                     follower::catchUp,
                     new WorkersView(new Unused(), new Unused()),
+                    (organisation, request) -> capObstacle,
                     new CallerAppender(time, store, time, freshness::isStoreReachable),
                     freshness,
                     time);
@@ -192,6 +194,21 @@
         return store.records(Stream.JOBS).stream().anyMatch(record -> record.key().equals(key));
     }
 
+    @Nested
+    class Submission {
+
+        /** Guards against a job that waits until its caller gives up, as its cap is too low. */
+        @Test
+        void ofAJobThatTheCapNeverAllowsIsRefusedAndNotStored() {
+            capObstacle = Optional.of("too large");
+            Answer answer = await(service.submit(call()));
+            assertEquals(Answer.TOO_MANY, answer.status());
+            assertEquals("too large", answer.body().toString());
+            assertTrue(answer.retryAfterSeconds() > 0);
+            assertEquals(0, store.records(Stream.JOBS).size());
+        }
+    }
+
     /** Guards against a cancellation that is answered 410 and lost, while the job runs on. */
     @Nested
     class Cancellation {
