Test the caps of organisations under random faults

The fixture's processes now apply a changed configuration to the running term, as Node does; they applied it only to the next term, which this test showed.

--- a/node/src/test/java/io/cardamomshelf/node/schedule/SchedulingFixture.java
+++ b/node/src/test/java/io/cardamomshelf/node/schedule/SchedulingFixture.java
@@ -42,6 +42,8 @@
 abstract class SchedulingFixture {
 
     static final QueuePolicy QUEUE = new QueuePolicy("q", "rota", 1, 3, 3, 1_500, false);
+    static final OrganisationId ORGANISATION = OrganisationId.of("circle");
+    static final double QUOTA_OVERAGE = 0.1;
     static final JobId JOB = JobId.of("00000000000000aa");
     static final TaskId TASK = TaskId.of(JOB, 0, 0, 0);
     static final Endpoint UNUSED_ENDPOINT = Endpoint.parse("127.0.0.1:1");
@@ -66,9 +68,16 @@
                             .map(queue -> new Configuration.Route("h", "/p/", false, 3_000, queue))
                             .toList();
             return new OperatorFact.Configured(
-                    new Configuration(1, routes, List.of(), new Configuration.Limits(1_000)));
+                    new Configuration(
+                            version, routes, organisations, new Configuration.Limits(1_000)));
         }
 
+        /** The version of the configuration that is read next. */
+        private long version = 1;
+
+        /** The organisations in the configuration that is read next. */
+        private List<Configuration.Organisation> organisations = List.of();
+
         /** The queues in the configuration that is read next. */
         private List<QueuePolicy> queues = List.of(QUEUE);
 
@@ -117,7 +126,7 @@
         }
 
         Process(String name, double cores, RandomGenerator random) {
-            operators = new OperatorsView(decoder, () -> {});
+            operators = new OperatorsView(decoder, this::operatorsChanged);
             candidate =
                     new SchedulerCandidate(
                             ownTime,
@@ -138,6 +147,10 @@
             candidate.start();
         }
 
+        private void operatorsChanged() {
+            candidate.operatorsChanged();
+        }
+
         private StreamFollower follow(Stream stream, StreamFollower.Fold fold) {
             StreamFollower follower =
                     new StreamFollower(
@@ -213,6 +226,16 @@
         store.write(Stream.OPERATORS, record("config"));
     }
 
+    /** Stores a configuration that limits the accelerators of the organisation of all jobs. */
+    void capAccelerators(int cap) {
+        decoder.version++;
+        decoder.organisations =
+                List.of(
+                        new Configuration.Organisation(
+                                ORGANISATION, List.of(), 0, 0, Resources.of(0, 0, cap)));
+        store.write(Stream.OPERATORS, record("config"));
+    }
+
     private NodeSettings settings(String name, double cores) {
         return new NodeSettings(
                 name,
@@ -221,7 +244,8 @@
                 UNUSED_ENDPOINT,
                 UNUSED_ENDPOINT,
                 cores,
-                new NodeSettings.Bounds(5_000, 3_000, 6_000, maxLeaseMillis, stateKeptMillis, 0));
+                new NodeSettings.Bounds(
+                        5_000, 3_000, 6_000, maxLeaseMillis, stateKeptMillis, QUOTA_OVERAGE));
     }
 
     /** Stores the configuration, and the registry entries of workers with these names. */
@@ -301,7 +325,7 @@
                 JobRecords.accepted(
                         new TaskJob(
                                 id,
-                                OrganisationId.of("circle"),
+                                ORGANISATION,
                                 queue,
                                 time.now().wallMillis(),
                                 new JobRequest("spec", List.of(step), repetitions, 0, 0))));
