Read the measurement of a running task from workers' lists

A row of running may have a fifth entry: the tail latency of a serving task in milliseconds, or the processor time that any other task uses. It was ignored. It is carried in WorkerLists.Running as an optional value.

--- a/core/src/main/java/io/cardamomshelf/core/schedule/WorkerLists.java
+++ b/core/src/main/java/io/cardamomshelf/core/schedule/WorkerLists.java
@@ -3,6 +3,7 @@
 import io.cardamomshelf.core.task.RunEnd;
 import io.cardamomshelf.core.task.TaskId;
 import java.util.List;
+import java.util.OptionalLong;
 
 /**
  * The lists of current and ended runs that a worker returned.
@@ -24,8 +25,25 @@
      * @param run the run's number
      * @param checkpoint its newest saved progress, empty for none
      * @param percent its progress in percent, or 100 for a serving task that is up
+     * @param measurement a rough measurement of the last half second: the tail of the response
+     *     times of a serving task, in milliseconds, or the processor time that any other task uses,
+     *     in thousandths of a core; empty if the worker doesn't list it
      */
-    public record Running(TaskId task, long run, String checkpoint, int percent) {}
+    public record Running(
+            TaskId task, long run, String checkpoint, int percent, OptionalLong measurement) {
+
+        /**
+         * Creates a run without a measurement.
+         *
+         * @param task the task, not null
+         * @param run the run's number
+         * @param checkpoint its newest saved progress, empty for none
+         * @param percent its progress in percent, or 100 for a serving task that is up
+         */
+        public Running(TaskId task, long run, String checkpoint, int percent) {
+            this(task, run, checkpoint, percent, OptionalLong.empty());
+        }
+    }
 
     /**
      * A run that ended.
