Keep tasks that slow each other down on different workers

Tasks on one worker share more than its allocated capacity shows. Placement packed them together, so callers of the slowed tasks waited longer although other workers had room.

Interference learns by pairs of images (of queue and shape without an image) from the progress of runs, and from the tail latency of serving tasks. It only compares one run before and after a change of what runs beside it, or two runs of a step on one worker, so that the worker's speed and the step's work cancel out. A pair counts after 6 comparisons from 4 workers, a mean slowdown of 15% and 4 standard errors, and is forgotten 60 s after its last comparison. At most 512 pairs are kept. Without a known pair the costs of a round are unchanged.

Without interference the starts are equal, also on workers of different speeds and beside stragglers.

--- a/core/src/main/java/io/cardamomshelf/core/schedule/FleetObservations.java
+++ b/core/src/main/java/io/cardamomshelf/core/schedule/FleetObservations.java
@@ -11,13 +11,17 @@
  *
  * <p>Not thread-safe: used only on the instance's event loop.
  */
-final class FleetObservations {
+public final class FleetObservations {
 
     private final StragglerDetector stragglerDetector = new StragglerDetector();
+    private final Interference interference = new Interference();
+
+    FleetObservations() {}
 
     /** Updates what follows from the progress of the current runs; called before each round. */
     void update(Collection<WorkerState> workers, ClockReading now) {
         stragglerDetector.update(workers, now.monotonicMillis());
+        interference.update(workers, stragglers(), now.monotonicMillis());
     }
 
     Set<WorkerId> stragglers() {
@@ -26,6 +30,38 @@
 
     /** The cost of placing tasks on workers, by what was learnt about both. */
     HostCost hostCost() {
-        return HostCost.sumOf(List.of());
+        return HostCost.sumOf(interference.hasKnownPairs() ? List.of(interference) : List.of());
+    }
+
+    /** Records a start before its run is added to the worker. */
+    void recordStart(TaskGroup group, WorkerState worker) {
+        interference.recordStart(group, worker);
+    }
+
+    /**
+     * Returns how many pairs of kinds of tasks are known to interfere with each other.
+     *
+     * @return the number of pairs, 0 or more
+     */
+    public int interferingPairs() {
+        return interference.interferingPairs();
+    }
+
+    /**
+     * Returns how many starts avoided a worker with interference that had room.
+     *
+     * @return the number of tasks that were started, 0 or more
+     */
+    public long startsAvoidingInterference() {
+        return interference.avoidingStarts();
+    }
+
+    /**
+     * Returns the pairs that became known to interfere with each other since the last call.
+     *
+     * @return the pairs with their figures, never null
+     */
+    public List<InterferingPair> takeNewInterferingPairs() {
+        return interference.takeNewPairs();
     }
 }
--- a/core/src/main/java/io/cardamomshelf/core/schedule/Run.java
+++ b/core/src/main/java/io/cardamomshelf/core/schedule/Run.java
@@ -2,6 +2,7 @@
 
 import io.cardamomshelf.core.task.StepSpec;
 import io.cardamomshelf.core.task.TaskId;
+import java.util.OptionalLong;
 
 /** One run of a task on a worker, from its order until its end is known. */
 final class Run {
@@ -52,6 +53,9 @@
     /** Whether its worker has listed it. */
     boolean listed;
 
+    /** The measurement that its worker last listed, see {@link WorkerLists.Running}. */
+    OptionalLong measurement = OptionalLong.empty();
+
     /**
      * When an attempt at its start last got no answer, on the monotonic clock. The worker may
      * receive such an attempt late.
--- a/core/src/main/java/io/cardamomshelf/core/schedule/RunProgress.java
+++ b/core/src/main/java/io/cardamomshelf/core/schedule/RunProgress.java
@@ -46,6 +46,11 @@
         return latestPercent;
     }
 
+    /** When the progress was last listed, on the monotonic clock. */
+    long latestMillis() {
+        return latestMillis;
+    }
+
     /** Whether recent lists showed no progress for at least the given time. */
     boolean hasStalled(long nowMillis, long stallMillis) {
         return lastAdvanceMillis != NEVER
--- a/core/src/main/java/io/cardamomshelf/core/schedule/SchedulerState.java
+++ b/core/src/main/java/io/cardamomshelf/core/schedule/SchedulerState.java
@@ -307,6 +307,15 @@
         return FleetLoad.of(this, jobs.all(), heldAccelerators, now);
     }
 
+    /**
+     * Returns what was learnt from the progress of runs.
+     *
+     * @return the observations, never null
+     */
+    public FleetObservations observations() {
+        return observations;
+    }
+
     /**
      * Returns the workers on which work has stalled or is much slower than elsewhere.
      *
@@ -369,10 +378,6 @@
         return workers.find(id);
     }
 
-    FleetObservations observations() {
-        return observations;
-    }
-
     Set<DataCentreId> closedDataCentres() {
         return closedDataCentres;
     }
@@ -408,6 +413,7 @@
     Order.Start start(
             TaskGroup group, int index, WorkerState worker, long number, ClockReading now) {
         Run run = new Run(group.task(index), number, worker, group, now.monotonicMillis());
+        observations.recordStart(group, worker);
         group.addRun(run);
         worker.addRun(run);
         String spec = group.owner().job().request().spec();
--- a/core/src/main/java/io/cardamomshelf/core/schedule/WorkerTable.java
+++ b/core/src/main/java/io/cardamomshelf/core/schedule/WorkerTable.java
@@ -167,6 +167,7 @@
             confirmStart(run, now);
         }
         run.listed = true;
+        run.measurement = running.measurement();
         run.progress.addSample(running.percent(), now.monotonicMillis());
         run.group.saveCheckpoint(running.task().index(), running.checkpoint());
         return true;
