Share the set of kinds beside the runs of a worker

Each reading of the progress copied the kinds of a worker for each of its runs. Runs beside another one of their own kind now share the worker's set.

InterferenceTest passes unchanged.

--- a/core/src/main/java/io/cardamomshelf/core/schedule/SpeedComparisons.java
+++ b/core/src/main/java/io/cardamomshelf/core/schedule/SpeedComparisons.java
@@ -13,6 +13,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
+import java.util.stream.Collectors;
 
 /**
  * Compares the speed of tasks with and without another kind of tasks beside them.
@@ -68,6 +69,8 @@
         for (WorkerState worker : workers) {
             kindCounts.put(worker.id(), countKinds(worker, runs));
         }
+        Set<TaskGroup> groups = new HashSet<>();
+        runs.forEach(run -> groups.add(run.group));
         Set<Run> comparable = new HashSet<>();
         for (Run run : runs) {
             List<Run> members = membersIfComparable(run);
@@ -78,7 +81,7 @@
             }
         }
         tracedRuns.keySet().retainAll(comparable);
-        kinds.keySet().retainAll(new HashSet<>(runs.stream().map(run -> run.group).toList()));
+        kinds.keySet().retainAll(groups);
         firstSegments
                 .values()
                 .removeIf(
@@ -120,21 +123,28 @@
     /** The kinds of the other tasks on the workers of a run or of a gang's members. */
     private Set<String> neighbours(
             List<Run> members, Map<WorkerId, Map<String, Integer>> kindCounts) {
-        String ownKind = kindOf(members.get(0).group);
-        Map<WorkerId, Integer> memberCounts = new HashMap<>();
-        members.forEach(run -> memberCounts.merge(run.worker.id(), 1, Integer::sum));
-        Set<String> neighbours = new HashSet<>();
-        memberCounts.forEach(
-                (worker, count) ->
-                        kindCounts
-                                .getOrDefault(worker, Map.of())
-                                .forEach(
-                                        (kind, all) -> {
-                                            if (!kind.equals(ownKind) || all > count) {
-                                                neighbours.add(kind);
-                                            }
-                                        }));
-        return neighbours;
+        if (members.size() == 1) {
+            return neighbours(members.get(0), 1, kindCounts);
+        }
+        Map<WorkerId, List<Run>> byWorker =
+                members.stream().collect(Collectors.groupingBy(run -> run.worker.id()));
+        Set<String> union = new HashSet<>();
+        byWorker.values()
+                .forEach(runs -> union.addAll(neighbours(runs.get(0), runs.size(), kindCounts)));
+        return union;
+    }
+
+    /** The kinds on a run's worker, apart from its own if only the given number of runs has it. */
+    private Set<String> neighbours(
+            Run run, int ownCount, Map<WorkerId, Map<String, Integer>> kindCounts) {
+        Map<String, Integer> counts = kindCounts.getOrDefault(run.worker.id(), Map.of());
+        String ownKind = kindOf(run.group);
+        if (counts.getOrDefault(ownKind, 0) > ownCount) {
+            return counts.keySet();
+        }
+        Set<String> others = new HashSet<>(counts.keySet());
+        others.remove(ownKind);
+        return others;
     }
 
     private void trace(
