Show which tasks interfere with each other

Nothing showed that tasks are kept apart, or why. Metrics: the number of known pairs, set to 0 at the end of a term, and the starts that avoided a worker with more interference.

--- a/node/src/main/java/io/cardamomshelf/node/event/NodeEvent.java
+++ b/node/src/main/java/io/cardamomshelf/node/event/NodeEvent.java
@@ -136,7 +136,12 @@
     WORKER_REPORT_IGNORED(
             6009,
             "A worker's entry or lists aren't used, or not yet, as they are of another incarnation"
-                    + " than the current one; one line for each change of either.");
+                    + " than the current one; one line for each change of either."),
+    /** Two kinds of tasks interfere with each other. */
+    INTERFERENCE_FOUND(
+            6011,
+            "Tasks of one kind slow down those of another one on the same worker, so they are kept"
+                    + " apart where there is room; the line gives the figures and their age.");
 
     private final int number;
     private final String description;
--- a/node/src/main/java/io/cardamomshelf/node/metric/ServiceMetrics.java
+++ b/node/src/main/java/io/cardamomshelf/node/metric/ServiceMetrics.java
@@ -1,7 +1,9 @@
 package io.cardamomshelf.node.metric;
 
+import com.codahale.metrics.DefaultSettableGauge;
 import com.codahale.metrics.Gauge;
 import com.codahale.metrics.MetricRegistry;
+import com.codahale.metrics.SettableGauge;
 import java.util.Locale;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
@@ -50,6 +52,13 @@
         FREE_ACCELERATORS("Accelerators without a run, at the scheduler, else 0."),
         /** Reserved accelerators. */
         HELD_ACCELERATORS("Free accelerators reserved for waiting work, at the scheduler, else 0."),
+        /** Pairs of kinds of tasks that interfere. */
+        INTERFERING_PAIRS(
+                "Pairs of kinds of tasks that are known to slow each other down on one worker, at"
+                        + " the scheduler, else 0."),
+        /** Starts that avoided interference. */
+        STARTS_AVOIDING_INTERFERENCE(
+                "Starts on a worker with less interference than another one that had room."),
         /** Calls in flight. */
         IN_FLIGHT("Calls of callers that aren't answered yet.");
 
@@ -90,6 +99,16 @@
         registry.counter(seriesName(name, labelValues)).inc();
     }
 
+    /**
+     * Increments a counter.
+     *
+     * @param name the metric, not null
+     * @param amount the amount, 0 or more
+     */
+    public void add(Name name, long amount) {
+        registry.counter(name.exportedName()).inc(amount);
+    }
+
     /**
      * Records a duration; a negative one counts as 0.
      *
@@ -112,6 +131,17 @@
         registry.register(name.exportedName(), (Gauge<Long>) value::getAsLong);
     }
 
+    /**
+     * Sets the value of a gauge, which stays until it is set again.
+     *
+     * @param name the metric, not null
+     * @param value the value
+     */
+    public void set(Name name, long value) {
+        SettableGauge<Long> gauge = registry.gauge(name.exportedName(), DefaultSettableGauge::new);
+        gauge.setValue(value);
+    }
+
     MetricRegistry registry() {
         return registry;
     }
--- a/node/src/main/java/io/cardamomshelf/node/schedule/RoundReporter.java
+++ b/node/src/main/java/io/cardamomshelf/node/schedule/RoundReporter.java
@@ -3,6 +3,7 @@
 import io.cardamomshelf.core.base.JobId;
 import io.cardamomshelf.core.base.WorkerId;
 import io.cardamomshelf.core.schedule.FleetLoad;
+import io.cardamomshelf.core.schedule.InterferingPair;
 import io.cardamomshelf.core.schedule.SchedulerState;
 import io.cardamomshelf.core.schedule.WaitReason;
 import io.cardamomshelf.node.event.EventLog;
@@ -15,7 +16,8 @@
 
 /**
  * Logs and measures the outcome of scheduling rounds: why jobs wait, which workers are stragglers,
- * how long a job waited for its first start. Each change is logged once.
+ * which kinds of tasks interfere, how long a job waited for its first start. Each change is logged
+ * once.
  *
  * <p>Use: {@link SchedulerTerm} calls {@code reportRound} after each round, and {@code
  * startOrdered} for each start.
@@ -37,6 +39,7 @@
     private Map<JobId, WaitReason> lastWaits = Map.of();
     private long loadLoggedMillis = Long.MIN_VALUE / 2;
     private Set<WorkerId> lastStragglers = Set.of();
+    private long countedAvoidingStarts;
 
     RoundReporter(SchedulerTermContext context, SchedulerState state, JobsView jobs) {
         this.context = context;
@@ -48,6 +51,7 @@
     void reportRound() {
         logWaits();
         logStragglers();
+        reportInterference();
         logLoad();
     }
 
@@ -135,4 +139,31 @@
             lastStragglers = stragglers;
         }
     }
+
+    /** Sets the gauges of this term to 0, as another process may be the scheduler from now on. */
+    void retire() {
+        context.metrics().set(Name.INTERFERING_PAIRS, 0);
+    }
+
+    /**
+     * Logs the pairs of kinds of tasks that became known to interfere, each once, and counts the
+     * starts that avoided them.
+     */
+    private void reportInterference() {
+        context.metrics().set(Name.INTERFERING_PAIRS, state.observations().interferingPairs());
+        long avoidingStarts = state.observations().startsAvoidingInterference();
+        context.metrics()
+                .add(Name.STARTS_AVOIDING_INTERFERENCE, avoidingStarts - countedAvoidingStarts);
+        countedAvoidingStarts = avoidingStarts;
+        for (InterferingPair pair : state.observations().takeNewInterferingPairs()) {
+            EventLog.of(NodeEvent.INTERFERENCE_FOUND)
+                    .with("slowed", pair.slowed())
+                    .with("slowing", pair.slowing())
+                    .with("slowdownPercent", pair.slowdownPercent())
+                    .with("comparisons", pair.samples())
+                    .with("workers", pair.workers())
+                    .with("ageMillis", pair.ageMillis())
+                    .write();
+        }
+    }
 }
--- a/node/src/main/java/io/cardamomshelf/node/schedule/SchedulerTerm.java
+++ b/node/src/main/java/io/cardamomshelf/node/schedule/SchedulerTerm.java
@@ -120,6 +120,7 @@
     void retire() {
         retired = true;
         adviceFetcher.close();
+        roundReporter.retire();
         links.close();
     }
 
