Learn persistent speeds of workers and place by them

What callers saw: on workers whose speeds differ by factors of 0.8, 1.0 and 1.25, urgent gangs ran on slow workers while fast ones ran other work, and one slow member slowed down a whole gang.

WorkerSpeeds compares the average speed of each run with other runs of its step. Speeds count only while the means of the workers differ significantly (F-test), so that placement on equal workers is unchanged. A gang's cost is that of its slowest member; urgent gangs choose racks and workers by it first, other gangs use slow workers with slow ones, and single tasks spare fast workers. Packing computes what is compared once per worker and group.

Ruled out: gangs don't tell speeds apart, as all members progress alike.

--- a/core/src/main/java/io/cardamomshelf/core/schedule/FleetObservations.java
+++ b/core/src/main/java/io/cardamomshelf/core/schedule/FleetObservations.java
@@ -9,23 +9,52 @@
  * What a scheduler has learnt about workers from the runs there. None of it is stored: a new
  * scheduler learns it again, and decides without it until then.
  *
+ * <p>Use: {@code SchedulerState.observations()} after a round.
+ *
  * <p>Not thread-safe: used only on the instance's event loop.
  */
-final class FleetObservations {
+public final class FleetObservations {
 
     private final StragglerDetector stragglerDetector = new StragglerDetector();
+    private final WorkerSpeeds workerSpeeds;
+
+    FleetObservations() {
+        this(new WorkerSpeeds(WorkerSpeeds.MIN_WORKERS));
+    }
+
+    FleetObservations(WorkerSpeeds workerSpeeds) {
+        this.workerSpeeds = workerSpeeds;
+    }
 
-    /** Updates what follows from the progress of the current runs; called before each round. */
-    void update(Collection<WorkerState> workers, ClockReading now) {
+    /**
+     * Updates what follows from the progress of the current runs; called before each round.
+     *
+     * @param completedRuns the runs that have completed their task since the last call
+     */
+    void update(Collection<WorkerState> workers, Collection<Run> completedRuns, ClockReading now) {
         stragglerDetector.update(workers, now.monotonicMillis());
+        workerSpeeds.update(workers, completedRuns, stragglers(), now.monotonicMillis());
+    }
+
+    /**
+     * Returns the persistent speeds of workers.
+     *
+     * @return the known speeds, never null
+     */
+    public FleetSpeeds speeds() {
+        return workerSpeeds.summary();
     }
 
     Set<WorkerId> stragglers() {
         return stragglerDetector.stragglers();
     }
 
+    WorkerSpeeds workerSpeeds() {
+        return workerSpeeds;
+    }
+
     /** The cost of placing tasks on workers, by what was learnt about both. */
     HostCost hostCost() {
-        return HostCost.sumOf(List.of());
+        return HostCost.sumOf(List.of(workerSpeeds));
     }
 }
--- a/core/src/main/java/io/cardamomshelf/core/schedule/HostCost.java
+++ b/core/src/main/java/io/cardamomshelf/core/schedule/HostCost.java
@@ -1,6 +1,7 @@
 package io.cardamomshelf.core.schedule;
 
 import java.util.Collection;
+import java.util.List;
 
 /**
  * How much longer a task runs on one worker than on another, for reasons other than its rack.
@@ -22,7 +23,13 @@
 
     /** The sum of several costs. */
     static HostCost sumOf(Collection<HostCost> costs) {
-        return (group, worker) ->
-                costs.stream().mapToDouble(cost -> cost.extraTimeShare(group, worker)).sum();
+        List<HostCost> summands = List.copyOf(costs);
+        return (group, worker) -> {
+            double sum = 0;
+            for (HostCost cost : summands) {
+                sum += cost.extraTimeShare(group, worker);
+            }
+            return sum;
+        };
     }
 }
--- a/core/src/main/java/io/cardamomshelf/core/schedule/Round.java
+++ b/core/src/main/java/io/cardamomshelf/core/schedule/Round.java
@@ -36,7 +36,7 @@
         this.state = state;
         this.now = now;
         this.capacity = new RoundCapacity(state, now.monotonicMillis());
-        this.placer = new TaskPlacer(capacity, state.observations().hostCost());
+        this.placer = new TaskPlacer(capacity, state.observations(), this::isUrgent);
         Forecast forecast = new Forecast(capacity, now);
         this.localityPolicy = new LocalityPolicy(forecast, now);
         this.reservations = new Reservations(capacity, forecast, now);
--- a/core/src/main/java/io/cardamomshelf/core/schedule/Run.java
+++ b/core/src/main/java/io/cardamomshelf/core/schedule/Run.java
@@ -29,7 +29,9 @@
     /** Milliseconds in a second, and thousandths of a core in a core. */
     private static final long MILLIS_PER_UNIT = 1_000;
 
-    private static final int COMPLETE_PERCENT = 100;
+    /** The progress of a run that has completed its task. */
+    static final int COMPLETE_PERCENT = 100;
+
     private static final long NEVER = Long.MIN_VALUE;
 
     final TaskId task;
--- a/core/src/main/java/io/cardamomshelf/core/schedule/RunProgress.java
+++ b/core/src/main/java/io/cardamomshelf/core/schedule/RunProgress.java
@@ -1,5 +1,7 @@
 package io.cardamomshelf.core.schedule;
 
+import java.util.OptionalDouble;
+
 /** The recent progress of a run in percent, as listed by its worker, and its speed. */
 final class RunProgress {
 
@@ -12,6 +14,12 @@
      */
     private static final long MAX_SPAN_MILLIS = 1_500;
 
+    /**
+     * The progress over which an average speed is measured, in percent. As progress is listed in
+     * whole percent, the error of the speed is 5% at most.
+     */
+    private static final int MIN_MEASURED_PERCENT = 20;
+
     private static final long NEVER = Long.MIN_VALUE / 2;
 
     private long baseMillis = NEVER;
@@ -19,6 +27,9 @@
     private long latestMillis = NEVER;
     private int latestPercent;
     private long lastAdvanceMillis = NEVER;
+    private long workingSinceMillis = NEVER;
+    private int workingSincePercent;
+    private boolean averageTaken;
 
     /**
      * Adds a listed percentage. One that is lower than before comes from an outdated list and is
@@ -38,10 +49,36 @@
             baseMillis = latestMillis;
             basePercent = latestPercent;
         }
+        if (workingSinceMillis == NEVER && percent > 0) {
+            workingSinceMillis = nowMillis;
+            workingSincePercent = percent;
+        }
         latestMillis = nowMillis;
         latestPercent = percent;
     }
 
+    /**
+     * Returns the average speed in percent per second, once per run: when it covers enough progress
+     * and time. The time before the first progress, such as that of preparations, is left out.
+     */
+    OptionalDouble takeAverageSpeed() {
+        int percent = latestPercent - workingSincePercent;
+        long spanMillis = latestMillis - workingSinceMillis;
+        if (averageTaken
+                || workingSinceMillis == NEVER
+                || percent < MIN_MEASURED_PERCENT
+                || spanMillis < MIN_SPAN_MILLIS) {
+            return OptionalDouble.empty();
+        }
+        averageTaken = true;
+        return OptionalDouble.of(1_000.0 * percent / spanMillis);
+    }
+
+    /** Excludes the run from measurements, as its worker was much slower than usual. */
+    void discardAverage() {
+        averageTaken = true;
+    }
+
     int percent() {
         return latestPercent;
     }
--- a/core/src/main/java/io/cardamomshelf/core/schedule/SchedulerState.java
+++ b/core/src/main/java/io/cardamomshelf/core/schedule/SchedulerState.java
@@ -38,7 +38,7 @@
     private Map<OrganisationId, Integer> guarantees = Map.of();
     private Set<DataCentreId> closedDataCentres = Set.of();
     private final DrainPolicy drainPolicy = new DrainPolicy();
-    private final FleetObservations observations = new FleetObservations();
+    private final FleetObservations observations;
     private final PlacementTickets tickets = new PlacementTickets();
     private final AdviceRequests adviceRequests = new AdviceRequests(this, tickets);
     private Map<JobId, WaitReason> waitReasons = Map.of();
@@ -53,7 +53,12 @@
      * @param initialRunNumber a number above those of all earlier runs
      */
     public SchedulerState(long initialRunNumber) {
+        this(initialRunNumber, new FleetObservations());
+    }
+
+    SchedulerState(long initialRunNumber, FleetObservations observations) {
         this.lastRunNumber = initialRunNumber;
+        this.observations = observations;
     }
 
     /** Ends the loading of an earlier scheduler's jobs and workers; later ones count as new. */
@@ -262,7 +267,7 @@
         List<Order> orders = new ArrayList<>(workers.orphans().takeDueStops(now.monotonicMillis()));
         orders.addAll(ObsoleteRuns.stopOrders(jobs.all(), this, now));
         orders.addAll(drainPolicy.stopOrders(workers.all(), this, now));
-        observations.update(workers.all(), now);
+        observations.update(workers.all(), workers.takeCompletedRuns(), now);
         Round round = new Round(this, now);
         orders.addAll(round.decide(jobs.all()));
         waitReasons = Map.copyOf(round.waitReasons());
@@ -369,7 +374,12 @@
         return workers.find(id);
     }
 
-    FleetObservations observations() {
+    /**
+     * Returns what was learnt from the runs of workers.
+     *
+     * @return the observations as of the last round, never null
+     */
+    public FleetObservations observations() {
         return observations;
     }
 
--- a/core/src/main/java/io/cardamomshelf/core/schedule/TaskPlacer.java
+++ b/core/src/main/java/io/cardamomshelf/core/schedule/TaskPlacer.java
@@ -1,15 +1,12 @@
 package io.cardamomshelf.core.schedule;
 
 import io.cardamomshelf.core.task.Resources;
-import java.util.ArrayList;
 import java.util.Collection;
-import java.util.Comparator;
-import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
-import java.util.function.Function;
+import java.util.function.Predicate;
 import java.util.stream.Collectors;
 
 /**
@@ -18,15 +15,54 @@
  * <p>Each task goes to the worker that has the least capacity left with it (best fit), as scattered
  * leftovers would starve tasks that need a whole worker. Work that runs outside its preferred rack
  * takes several times as long, so the caller decides whether other racks are tried.
+ *
+ * <p>Where run times on workers are known to differ, a gang gets the workers with the shortest run
+ * time of its slowest member, and of these rather the slow ones, so that fast workers aren't slowed
+ * down by others. Urgent work has the least time to spare, so its run time comes first. Other
+ * single tasks leave fast workers to it.
  */
 final class TaskPlacer {
 
+    /**
+     * The share of a worker's capacity that may be left so that a single urgent task runs shorter
+     * by all of its run time. A difference in speed of 10% outweighs half of a worker.
+     */
+    private static final double URGENT_WEIGHT = 5;
+
+    /**
+     * The share of a worker's capacity that a less urgent single task may leave to spare a fast
+     * worker.
+     */
+    private static final double SPARING_WEIGHT = 1;
+
+    /**
+     * The same for a gang that spares fast workers among those that aren't slower than its slowest
+     * member.
+     */
+    private static final double SIMILARITY_WEIGHT = 1;
+
     private final RoundCapacity capacity;
     private final HostCost hostCost;
+    private final HostCost singleTaskCost;
+    private final Predicate<TaskGroup> isUrgent;
 
-    TaskPlacer(RoundCapacity capacity, HostCost hostCost) {
+    /**
+     * Creates a placer for one round.
+     *
+     * @param isUrgent whether a group belongs to the most urgent work
+     */
+    TaskPlacer(
+            RoundCapacity capacity, FleetObservations observations, Predicate<TaskGroup> isUrgent) {
         this.capacity = capacity;
-        this.hostCost = hostCost;
+        this.hostCost = observations.hostCost();
+        this.singleTaskCost = sparingFastWorkers(hostCost, observations.workerSpeeds());
+        this.isUrgent = isUrgent;
+    }
+
+    private static HostCost sparingFastWorkers(HostCost cost, HostCost speedCost) {
+        return (group, worker) ->
+                cost.extraTimeShare(group, worker)
+                        - (1 + SPARING_WEIGHT) * speedCost.extraTimeShare(group, worker);
     }
 
     /**
@@ -36,19 +72,27 @@
     Optional<List<WorkerState>> placeInPreferredRack(
             TaskGroup group, int count, List<WorkerState> workers) {
         if (!hasPreferredRack(group)) {
-            return pack(workers, group, count);
+            return pack(workers, group, count).map(Placement::hosts);
         }
-        return preferredRacks(workers, group).stream()
-                .map(rack -> new RackPlacement(rack, pack(rack, group, count)))
-                .filter(placement -> placement.hosts().isPresent())
-                .min(Comparator.comparingInt(this::freeAccelerators))
-                .flatMap(RackPlacement::hosts);
+        Placement best = null;
+        double lowestCost = Double.MAX_VALUE;
+        for (List<WorkerState> rack : preferredRacks(workers, group)) {
+            Optional<Placement> placement = pack(rack, group, count);
+            if (placement.isPresent()) {
+                double cost = rackCost(rack, group, count, placement.get().extraTime());
+                if (cost < lowestCost) {
+                    best = placement.get();
+                    lowestCost = cost;
+                }
+            }
+        }
+        return Optional.ofNullable(best).map(Placement::hosts);
     }
 
     /** Chooses a worker for each task, regardless of racks. */
     Optional<List<WorkerState>> placeAnywhere(
             TaskGroup group, int count, List<WorkerState> workers) {
-        return pack(workers, group, count);
+        return pack(workers, group, count).map(Placement::hosts);
     }
 
     /** How many tasks of the group fit on the workers now. */
@@ -80,56 +124,46 @@
                                 worker -> worker.info().rack(), TreeMap::new, Collectors.toList()));
     }
 
-    private record RackPlacement(List<WorkerState> rack, Optional<List<WorkerState>> hosts) {}
+    /**
+     * Workers for all tasks of a group.
+     *
+     * @param extraTime the additional run time of the slowest member of a gang, as a share
+     */
+    private record Placement(List<WorkerState> hosts, double extraTime) {}
 
-    private int freeAccelerators(RackPlacement placement) {
-        return placement.rack().stream()
-                .mapToInt(worker -> capacity.free(worker).accelerators())
-                .sum();
+    /**
+     * The cost of a rack in accelerators: those that are free, and those that the gang would occupy
+     * for longer. An urgent gang counts as one that occupies the whole rack.
+     */
+    private double rackCost(List<WorkerState> rack, TaskGroup group, int count, double extraTime) {
+        int free = 0;
+        int total = 0;
+        for (WorkerState worker : rack) {
+            free += capacity.free(worker).accelerators();
+            total += worker.info().capacity().accelerators();
+        }
+        double occupied =
+                isUrgent.test(group)
+                        ? URGENT_WEIGHT * total
+                        : (double) count * group.spec().allocation().accelerators();
+        return free + extraTime * occupied;
     }
 
-    private Optional<List<WorkerState>> pack(
-            List<WorkerState> workers, TaskGroup group, int count) {
-        int fitting = 0;
-        for (WorkerState worker : workers) {
-            fitting += fittingTasks(worker, group, capacity.freeFor(group, worker));
-        }
-        if (fitting < count) {
+    private Optional<Placement> pack(List<WorkerState> workers, TaskGroup group, int count) {
+        boolean gang = group.spec().gang();
+        boolean urgent = isUrgent.test(group);
+        HostCost cost = gang || urgent ? hostCost : singleTaskCost;
+        Packing packing = new Packing(workers, group, capacity, cost);
+        if (!packing.fits(count)) {
             return Optional.empty();
         }
-        List<WorkerState> hosts = new ArrayList<>();
-        Map<WorkerState, Integer> assigned = new HashMap<>();
-        for (int i = 0; i < count; i++) {
-            Optional<WorkerState> host = tightestFit(workers, group, assigned);
-            if (host.isEmpty()) {
-                return Optional.empty();
-            }
-            hosts.add(host.get());
-            assigned.merge(host.get(), 1, Integer::sum);
+        if (!gang) {
+            double weight = urgent ? URGENT_WEIGHT : 1;
+            return Optional.of(new Placement(packing.choose(count, Double.MAX_VALUE, weight), 0));
         }
-        return Optional.of(hosts);
-    }
-
-    private Optional<WorkerState> tightestFit(
-            List<WorkerState> workers, TaskGroup group, Map<WorkerState, Integer> assigned) {
-        Resources demand = group.spec().allocation();
-        WorkerState best = null;
-        double lowestCost = Double.MAX_VALUE;
-        for (WorkerState worker : workers) {
-            int assignedHere = assigned.getOrDefault(worker, 0);
-            Resources free = capacity.freeFor(group, worker);
-            if (fittingTasks(worker, group, free) <= assignedHere) {
-                continue;
-            }
-            double cost =
-                    leftoverShare(worker, free, demand, assignedHere + 1)
-                            + hostCost.extraTimeShare(group, worker);
-            if (cost < lowestCost) {
-                best = worker;
-                lowestCost = cost;
-            }
-        }
-        return Optional.ofNullable(best);
+        double extraTime = packing.lowestExtraTime(count);
+        return Optional.of(
+                new Placement(packing.choose(count, extraTime, -SIMILARITY_WEIGHT), extraTime));
     }
 
     /**
@@ -146,21 +180,6 @@
         return fitting;
     }
 
-    private static double leftoverShare(
-            WorkerState worker, Resources free, Resources demand, int tasks) {
-        Resources total = worker.info().capacity();
-        Function<Resources, Double> summedShares =
-                amount ->
-                        share(amount.cpuMillis(), total.cpuMillis())
-                                + share(amount.memoryMb(), total.memoryMb())
-                                + share(amount.accelerators(), total.accelerators());
-        return summedShares.apply(free) - tasks * summedShares.apply(demand);
-    }
-
-    private static double share(long amount, long total) {
-        return total == 0 ? 0 : (double) amount / total;
-    }
-
     /** Whether the tasks would fit on the workers if nothing else ran there. */
     static boolean fitIfEmpty(List<WorkerState> workers, TaskGroup group, int count) {
         return workers.stream()
--- a/core/src/main/java/io/cardamomshelf/core/schedule/WorkerTable.java
+++ b/core/src/main/java/io/cardamomshelf/core/schedule/WorkerTable.java
@@ -3,6 +3,7 @@
 import io.cardamomshelf.core.base.WorkerId;
 import io.cardamomshelf.core.task.RunEnd;
 import io.cardamomshelf.core.task.TaskId;
+import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
@@ -27,6 +28,7 @@
     private final Map<WorkerId, WorkerState> workers = new LinkedHashMap<>();
     private final Set<WorkerId> unreported = new LinkedHashSet<>();
     private final OrphanedRuns orphans = new OrphanedRuns();
+    private final List<Run> completedRuns = new ArrayList<>();
 
     WorkerTable(LiveJobTable jobs) {
         this.jobs = jobs;
@@ -48,6 +50,13 @@
         return orphans;
     }
 
+    /** Returns the runs that have completed their task since the last call. */
+    List<Run> takeCompletedRuns() {
+        List<Run> completed = List.copyOf(completedRuns);
+        completedRuns.clear();
+        return completed;
+    }
+
     /**
      * Adds or updates a worker, unless the entry was born before its current incarnation. An
      * inherited worker may have runs that an earlier scheduler started.
@@ -192,7 +201,7 @@
         if (!worker.advanceLastEnd(ended.number())) {
             return;
         }
-        worker.run(ended.task(), ended.run()).ifPresent(this::remove);
+        worker.run(ended.task(), ended.run()).ifPresent(run -> end(run, ended.end(), now));
         jobs.find(ended.task().job())
                 .flatMap(job -> job.group(ended.task(), now.wallMillis()))
                 .ifPresent(group -> updateProgress(worker, group, ended, now));
@@ -203,6 +212,14 @@
         }
     }
 
+    private void end(Run run, RunEnd end, ClockReading now) {
+        if (end == RunEnd.DONE) {
+            run.progress.addSample(Run.COMPLETE_PERCENT, now.monotonicMillis());
+            completedRuns.add(run);
+        }
+        remove(run);
+    }
+
     private void updateProgress(
             WorkerState worker, TaskGroup group, WorkerLists.Ended ended, ClockReading now) {
         if (ended.end() == RunEnd.FAILED) {
--- a/core/src/test/java/io/cardamomshelf/core/schedule/LoadSimulation.java
+++ b/core/src/test/java/io/cardamomshelf/core/schedule/LoadSimulation.java
@@ -14,6 +14,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
+import java.util.Set;
 import java.util.TreeMap;
 
 /**
@@ -36,10 +37,32 @@
     static final class Tally {
         private double maxValue;
         private double value;
+        private int jobs;
+        private int inTime;
+        private long totalMillis;
 
         double share() {
             return maxValue == 0 ? 1 : value / maxValue;
         }
+
+        int jobs() {
+            return jobs;
+        }
+
+        int late() {
+            return jobs - inTime;
+        }
+
+        /** The mean time from the acceptance of a job to its end, of those that have ended. */
+        double meanMillis() {
+            return (double) totalMillis / Math.max(1, jobs);
+        }
+
+        private void add(double jobValue, long tookMillis, boolean jobInTime) {
+            value += jobValue;
+            totalMillis += tookMillis;
+            inTime += jobInTime ? 1 : 0;
+        }
     }
 
     private static final class SimulatedJob {
@@ -60,14 +83,19 @@
             return Math.min(4, 0.3 + 0.7 * work.millis() * work.step().count() / meanWorkMillis);
         }
 
+        private double objectiveMillis() {
+            return jobClass.queue().slackFactor() * work.millis() + jobClass.queue().targetMillis();
+        }
+
+        private boolean isInTime(long tookMillis) {
+            return tookMillis <= objectiveMillis();
+        }
+
         private double value(long tookMillis) {
-            double objectiveMillis =
-                    jobClass.queue().slackFactor() * work.millis()
-                            + jobClass.queue().targetMillis();
-            if (tookMillis <= objectiveMillis) {
+            if (isInTime(tookMillis)) {
                 return maxValue();
             }
-            return tookMillis <= LATE_FACTOR * objectiveMillis
+            return tookMillis <= LATE_FACTOR * objectiveMillis()
                     ? maxValue() * jobClass.lateValue()
                     : 0;
         }
@@ -86,19 +114,29 @@
 
     private final Random random;
     private final List<JobClass> classes;
-    private final SchedulerState schedulerState = new SchedulerState(1_000_000);
-    private final SimulatedWorkers workers = new SimulatedWorkers(schedulerState, this::workOf);
+    private final SchedulerState schedulerState;
+    private final SimulatedWorkers workers;
     private final Map<JobId, SimulatedJob> jobs = new LinkedHashMap<>();
     private final Map<String, Tally> tallies = new TreeMap<>();
     private final List<JobId> unconfirmed = new ArrayList<>();
     private Optional<Burst> burst = Optional.empty();
     private Resources workerCapacity = Resources.NONE;
     private int maxGangHosts = Integer.MAX_VALUE;
+    private double taskSpread;
+    private int ordersDigest;
+    private int mostKnownSpeeds;
     private long nowMillis = START_MILLIS;
 
     LoadSimulation(long seed, List<JobClass> classes) {
+        this(seed, classes, new FleetObservations());
+    }
+
+    /** Creates a simulation with a policy that learns the given observations. */
+    LoadSimulation(long seed, List<JobClass> classes, FleetObservations observations) {
         this.random = new Random(seed);
         this.classes = classes;
+        this.schedulerState = new SchedulerState(1_000_000, observations);
+        this.workers = new SimulatedWorkers(schedulerState, this::workOf);
         classes.forEach(jobClass -> tallies.put(jobClass.name(), new Tally()));
     }
 
@@ -108,6 +146,27 @@
         return this;
     }
 
+    LoadSimulation withSpeeds(SimulatedWorkers.Speeds speeds) {
+        workers.setSpeeds(speeds);
+        return this;
+    }
+
+    /** Lets the work of the tasks of a step differ from their mean by up to this share. */
+    LoadSimulation withTaskSpread(double spread) {
+        taskSpread = spread;
+        return this;
+    }
+
+    /** The largest number of workers whose speed was known at a time. */
+    int mostKnownSpeeds() {
+        return mostKnownSpeeds;
+    }
+
+    /** The same for two simulations if each round gave the same orders. */
+    int ordersDigest() {
+        return ordersDigest;
+    }
+
     /** Limits the width of gangs to what fits on a number of workers, such as those of a rack. */
     LoadSimulation withMaxGangHosts(int hosts) {
         maxGangHosts = hosts;
@@ -141,9 +200,11 @@
                 classes.forEach(jobClass -> submitDueJobs(jobClass, arrivalsUntilNext));
             }
             workers.advanceTo(clockReading(), previousMillis);
-            schedulerState
-                    .decide(clockReading())
-                    .forEach(order -> workers.carryOut(order, clockReading()));
+            List<Order> orders = schedulerState.decide(clockReading());
+            orders.forEach(order -> workers.carryOut(order, clockReading()));
+            ordersDigest = 31 * ordersDigest + Set.copyOf(orders).hashCode();
+            mostKnownSpeeds =
+                    Math.max(mostKnownSpeeds, schedulerState.observations().speeds().known());
             recordCompletedJobs();
         }
         return tallies;
@@ -192,8 +253,12 @@
         JobRequest request = new JobRequest("x", List.of(step), 0, 0, 0);
         TaskJob job =
                 new TaskJob(id, OrganisationId.of("circle"), jobClass.queue(), nowMillis, request);
-        jobs.put(id, new SimulatedJob(jobClass, job, new SimulatedWorkers.Work(step, workMillis)));
+        jobs.put(
+                id,
+                new SimulatedJob(
+                        jobClass, job, new SimulatedWorkers.Work(step, workMillis, taskSpread)));
         tallies.get(jobClass.name()).maxValue += jobs.get(id).maxValue();
+        tallies.get(jobClass.name()).jobs++;
         schedulerState.addJob(job, Optional.of(SchedulerFixture.QUEUED_ANYWHERE));
     }
 
@@ -214,7 +279,9 @@
 
     private void complete(SimulatedJob job) {
         job.ended = true;
-        tallies.get(job.jobClass.name()).value += job.value(nowMillis - job.job.acceptedMillis());
+        long tookMillis = nowMillis - job.job.acceptedMillis();
+        tallies.get(job.jobClass.name())
+                .add(job.value(tookMillis), tookMillis, job.isInTime(tookMillis));
         schedulerState.removeJobIfEnded(job.job.id());
     }
 }
--- a/core/src/test/java/io/cardamomshelf/core/schedule/SimulatedWorkers.java
+++ b/core/src/test/java/io/cardamomshelf/core/schedule/SimulatedWorkers.java
@@ -7,38 +7,64 @@
 import io.cardamomshelf.core.task.Resources;
 import io.cardamomshelf.core.task.RunEnd;
 import io.cardamomshelf.core.task.StepSpec;
+import io.cardamomshelf.core.task.TaskId;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Random;
 import java.util.function.Function;
 
 /**
  * Simulated workers that carry out the orders of a scheduler state and report to it.
  *
- * <p>Limits: they have no faults, answer at once and progress evenly. The text of a checkpoint is
- * the progress of the run, from 0 to 1.
+ * <p>Limits: they have no faults and answer at once. A gang progresses at the speed of its slowest
+ * worker. The text of a checkpoint is the progress of the run, from 0 to 1.
  */
 final class SimulatedWorkers {
 
-    /** What a task runs: its step and its working time. */
-    record Work(StepSpec step, long millis) {}
+    /**
+     * What a task runs.
+     *
+     * @param millis its mean working time at speed 1
+     * @param spread by how much the work of the tasks of a step that isn't a gang differs from the
+     *     mean at most, as a share
+     */
+    record Work(StepSpec step, long millis, double spread) {
+
+        /** The working time of one task, which is the same in each of its runs. */
+        double millis(TaskId task) {
+            return step.gang()
+                    ? millis
+                    : millis * (1 + spread * (2 * new Random(task.hashCode()).nextDouble() - 1));
+        }
+    }
+
+    /** The speed of a worker at a time; 1 takes the working time of a task. */
+    @FunctionalInterface
+    interface Speeds {
+
+        /** Equal and constant speeds. */
+        Speeds EQUAL = (index, elapsedMillis) -> 1;
+
+        double speed(int index, long elapsedMillis);
+    }
 
     private static final class ActiveRun {
         private final Order.Start start;
         private final Work work;
-        private final double initialProgress;
+        private final double workMillis;
         private double progress;
-        private long workingSinceMillis = -1;
+        private long workedUntilMillis = -1;
         private long stopsAtMillis = Long.MAX_VALUE;
 
         private ActiveRun(Order.Start start, Work work) {
             this.start = start;
             this.work = work;
-            this.initialProgress =
+            this.workMillis = work.millis(start.task());
+            this.progress =
                     start.checkpoint().isEmpty() ? 0 : Double.parseDouble(start.checkpoint());
-            this.progress = initialProgress;
         }
 
         private String checkpoint() {
@@ -51,20 +77,32 @@
     private static final int NON_LOCAL_SLOWDOWN = 3;
     private static final int BORN_MILLIS = 1;
 
+    /** The error of sums of progress up to which a task counts as done. */
+    private static final double ROUNDING = 1e-9;
+
     private final SchedulerState state;
     private final Function<JobId, Work> workOf;
     private final Map<WorkerId, String> racks = new LinkedHashMap<>();
     private final Map<WorkerId, List<ActiveRun>> active = new LinkedHashMap<>();
     private final Map<WorkerId, List<WorkerLists.Ended>> ended = new HashMap<>();
     private final Map<WorkerId, Long> endNumbers = new HashMap<>();
+    private final Map<WorkerId, Integer> indices = new HashMap<>();
+    private Speeds speeds = Speeds.EQUAL;
+    private long initialMillis;
 
     SimulatedWorkers(SchedulerState state, Function<JobId, Work> workOf) {
         this.state = state;
         this.workOf = workOf;
     }
 
+    void setSpeeds(Speeds newSpeeds) {
+        speeds = newSpeeds;
+    }
+
     void add(int count, int rackSize, Resources capacity, ClockReading now) {
+        initialMillis = now.monotonicMillis();
         for (int i = 0; i < count; i++) {
+            indices.put(WorkerId.of("w" + i), i);
             add(WorkerId.of("w" + i), "r" + i / rackSize, capacity, now);
         }
     }
@@ -116,7 +154,7 @@
                 } else if (run.work.step().gang()) {
                     gangs.computeIfAbsent(run.start.run(), key -> new ArrayList<>()).add(run);
                 } else {
-                    advance(run, now.monotonicMillis(), 1);
+                    advance(run, now.monotonicMillis(), speed(run, now.monotonicMillis()));
                 }
             }
         }
@@ -137,17 +175,22 @@
             long rackCount =
                     gang.stream().map(run -> racks.get(run.start.worker())).distinct().count();
             int slowdown = step.rackLocal() && rackCount > 1 ? NON_LOCAL_SLOWDOWN : 1;
-            gang.forEach(run -> advance(run, nowMillis, slowdown));
+            double slowest =
+                    gang.stream().mapToDouble(run -> speed(run, nowMillis)).min().orElseThrow();
+            gang.forEach(run -> advance(run, nowMillis, slowest / slowdown));
         }
     }
 
-    private void advance(ActiveRun run, long nowMillis, int slowdown) {
-        if (run.workingSinceMillis < 0) {
-            run.workingSinceMillis = nowMillis;
+    private double speed(ActiveRun run, long nowMillis) {
+        return speeds.speed(indices.get(run.start.worker()), nowMillis - initialMillis);
+    }
+
+    private void advance(ActiveRun run, long nowMillis, double speed) {
+        if (run.workedUntilMillis >= 0) {
+            run.progress += (nowMillis - run.workedUntilMillis) * speed / run.workMillis;
         }
-        double workedMillis = (double) (nowMillis - run.workingSinceMillis) / slowdown;
-        run.progress = run.initialProgress + workedMillis / run.work.millis();
-        if (run.progress >= 1) {
+        run.workedUntilMillis = nowMillis;
+        if (run.progress >= 1 - ROUNDING) {
             end(run, RunEnd.DONE);
         }
     }
--- a/node/src/main/java/io/cardamomshelf/node/Node.java
+++ b/node/src/main/java/io/cardamomshelf/node/Node.java
@@ -147,9 +147,8 @@
         metrics.gauge(Name.CONFIGURATION_AGE_MILLIS, operatorsFollower::proofAgeMillis);
         metrics.gauge(Name.JOBS_AGE_MILLIS, jobsFollower::proofAgeMillis);
         metrics.gauge(Name.LEADING, () -> candidate.isLeading() ? 1 : 0);
-        metrics.gauge(Name.FREE_ACCELERATORS, () -> candidate.load().free());
-        metrics.gauge(Name.HELD_ACCELERATORS, () -> candidate.load().held());
         metrics.gauge(Name.IN_FLIGHT, callers::inFlight);
+        SchedulerGauges.register(metrics, candidate, clock);
     }
 
     /**
--- a/node/src/main/java/io/cardamomshelf/node/event/NodeEvent.java
+++ b/node/src/main/java/io/cardamomshelf/node/event/NodeEvent.java
@@ -136,7 +136,12 @@
     WORKER_REPORT_IGNORED(
             6009,
             "A worker's entry or lists aren't used, or not yet, as they are of another incarnation"
-                    + " than the current one; one line for each change of either.");
+                    + " than the current one; one line for each change of either."),
+    /** Workers got another speed class. */
+    WORKER_SPEEDS_CHANGED(
+            6010,
+            "Workers were found to be slower or faster than the fleet's mean, or no longer; at most"
+                    + " one line a second.");
 
     private final int number;
     private final String description;
--- a/node/src/main/java/io/cardamomshelf/node/metric/ServiceMetrics.java
+++ b/node/src/main/java/io/cardamomshelf/node/metric/ServiceMetrics.java
@@ -50,6 +50,14 @@
         FREE_ACCELERATORS("Accelerators without a run, at the scheduler, else 0."),
         /** Reserved accelerators. */
         HELD_ACCELERATORS("Free accelerators reserved for waiting work, at the scheduler, else 0."),
+        /** Workers with a known speed. */
+        KNOWN_WORKER_SPEEDS("Workers whose relative speed is known, at the scheduler, else 0."),
+        /** Lowest speed of a worker. */
+        LOWEST_WORKER_SPEED_PERCENT(
+                "The lowest known speed of a worker, in percent of the fleet's mean, else 100."),
+        /** Highest speed of a worker. */
+        HIGHEST_WORKER_SPEED_PERCENT(
+                "The highest known speed of a worker, in percent of the fleet's mean, else 100."),
         /** Calls in flight. */
         IN_FLIGHT("Calls of callers that aren't answered yet.");
 
--- a/node/src/main/java/io/cardamomshelf/node/schedule/RoundReporter.java
+++ b/node/src/main/java/io/cardamomshelf/node/schedule/RoundReporter.java
@@ -3,6 +3,7 @@
 import io.cardamomshelf.core.base.JobId;
 import io.cardamomshelf.core.base.WorkerId;
 import io.cardamomshelf.core.schedule.FleetLoad;
+import io.cardamomshelf.core.schedule.FleetSpeeds;
 import io.cardamomshelf.core.schedule.SchedulerState;
 import io.cardamomshelf.core.schedule.WaitReason;
 import io.cardamomshelf.node.event.EventLog;
@@ -12,6 +13,7 @@
 import java.util.HashSet;
 import java.util.Map;
 import java.util.Set;
+import java.util.TreeSet;
 
 /**
  * Logs and measures the outcome of scheduling rounds: why jobs wait, which workers are stragglers,
@@ -27,6 +29,12 @@
     /** The interval between logs of the fleet's load while jobs wait, in milliseconds. */
     private static final long LOAD_INTERVAL_MILLIS = 1_000;
 
+    /** The shortest interval between logs of changed speeds of workers, in milliseconds. */
+    private static final long SPEEDS_INTERVAL_MILLIS = 1_000;
+
+    /** The most workers that a log of changed speeds lists. */
+    private static final int MAX_LISTED_WORKERS = 8;
+
     private final SchedulerTermContext context;
     private final SchedulerState state;
     private final JobsView jobs;
@@ -37,6 +45,8 @@
     private Map<JobId, WaitReason> lastWaits = Map.of();
     private long loadLoggedMillis = Long.MIN_VALUE / 2;
     private Set<WorkerId> lastStragglers = Set.of();
+    private FleetSpeeds lastSpeeds = FleetSpeeds.NONE;
+    private long speedsLoggedMillis = Long.MIN_VALUE / 2;
 
     RoundReporter(SchedulerTermContext context, SchedulerState state, JobsView jobs) {
         this.context = context;
@@ -48,6 +58,7 @@
     void reportRound() {
         logWaits();
         logStragglers();
+        logSpeeds();
         logLoad();
     }
 
@@ -135,4 +146,26 @@
             lastStragglers = stragglers;
         }
     }
+
+    /** Logs the workers whose speed class has changed; lists only some, as all may change. */
+    private void logSpeeds() {
+        FleetSpeeds speeds = state.observations().speeds();
+        long now = context.clock().monotonicMillis();
+        if (speeds.slow().equals(lastSpeeds.slow()) && speeds.fast().equals(lastSpeeds.fast())
+                || now - speedsLoggedMillis < SPEEDS_INTERVAL_MILLIS) {
+            return;
+        }
+        Set<WorkerId> changed = new TreeSet<>(speeds.changedSince(lastSpeeds));
+        EventLog.of(NodeEvent.WORKER_SPEEDS_CHANGED)
+                .with("changed", changed.stream().limit(MAX_LISTED_WORKERS).toList())
+                .with("changedCount", changed.size())
+                .with("slow", speeds.slow().size())
+                .with("fast", speeds.fast().size())
+                .with("known", speeds.known())
+                .with("lowest", speeds.lowest())
+                .with("highest", speeds.highest())
+                .write();
+        lastSpeeds = speeds;
+        speedsLoggedMillis = now;
+    }
 }
--- a/node/src/main/java/io/cardamomshelf/node/schedule/SchedulerCandidate.java
+++ b/node/src/main/java/io/cardamomshelf/node/schedule/SchedulerCandidate.java
@@ -2,8 +2,8 @@
 
 import io.cardamomshelf.core.base.WorkerId;
 import io.cardamomshelf.core.schedule.ElectionTimer;
-import io.cardamomshelf.core.schedule.FleetLoad;
 import io.cardamomshelf.core.schedule.LeaderLease;
+import io.cardamomshelf.core.schedule.SchedulerState;
 import io.cardamomshelf.core.schedule.WorkerInfo;
 import io.cardamomshelf.node.Clock;
 import io.cardamomshelf.node.Timers;
@@ -25,6 +25,7 @@
 import io.smallrye.mutiny.Uni;
 import java.util.List;
 import java.util.Optional;
+import java.util.function.Function;
 import java.util.function.LongSupplier;
 import java.util.random.RandomGenerator;
 
@@ -210,13 +211,15 @@
     }
 
     /**
-     * Returns the load of the accelerators.
+     * Reads from the scheduler's state.
      *
-     * @return the load as of the last round, never null; {@code FleetLoad.NONE} unless this process
-     *     leads
+     * @param reader reads the value, not null
+     * @param otherwise the value unless this process is the scheduler
+     * @param <T> the type of the value
+     * @return the value as of the last round
      */
-    public FleetLoad load() {
-        return term == null ? FleetLoad.NONE : term.load();
+    public <T> T read(Function<SchedulerState, T> reader, T otherwise) {
+        return term == null ? otherwise : term.read(reader);
     }
 
     /** Applies a change of the configuration or of the withdrawn data centres. */
--- a/node/src/main/java/io/cardamomshelf/node/schedule/SchedulerTerm.java
+++ b/node/src/main/java/io/cardamomshelf/node/schedule/SchedulerTerm.java
@@ -4,7 +4,6 @@
 import io.cardamomshelf.core.base.OrganisationId;
 import io.cardamomshelf.core.base.WorkerId;
 import io.cardamomshelf.core.schedule.ClockReading;
-import io.cardamomshelf.core.schedule.FleetLoad;
 import io.cardamomshelf.core.schedule.Order;
 import io.cardamomshelf.core.schedule.SchedulerState;
 import io.cardamomshelf.core.schedule.Voters;
@@ -27,6 +26,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Function;
 import java.util.stream.Collectors;
 
 /**
@@ -133,8 +133,8 @@
         return context.epoch();
     }
 
-    FleetLoad load() {
-        return state.load(context.clock().now());
+    <T> T read(Function<SchedulerState, T> reader) {
+        return reader.apply(state);
     }
 
     SchedulerAppender appender() {
