--- a/core/src/main/java/io/cardamomshelf/core/schedule/SchedulerState.java
+++ b/core/src/main/java/io/cardamomshelf/core/schedule/SchedulerState.java
@@ -35,10 +35,10 @@
     private final LiveJobTable jobs = new LiveJobTable();
     private final WorkerTable workers = new WorkerTable(jobs);
     private final WorkerReports workerReports = new WorkerReports(workers);
-    private final FleetObservations observations = new FleetObservations();
     private final OrganisationTable organisations;
     private Set<DataCentreId> closedDataCentres = Set.of();
     private final DrainPolicy drainPolicy = new DrainPolicy();
+    private final FleetObservations observations;
     private final PlacementTickets tickets = new PlacementTickets();
     private final AdviceRequests adviceRequests = new AdviceRequests(this, tickets);
     private Map<JobId, WaitReason> waitReasons = Map.of();
@@ -64,8 +64,13 @@
      * @param quotaOverage the fraction of its cap by which an organisation may exceed it
      */
     public SchedulerState(long initialRunNumber, double quotaOverage) {
+        this(initialRunNumber, quotaOverage, new FleetObservations());
+    }
+
+    SchedulerState(long initialRunNumber, double quotaOverage, FleetObservations observations) {
         this.lastRunNumber = initialRunNumber;
         this.organisations = new OrganisationTable(jobs, workers, quotaOverage);
+        this.observations = observations;
     }
 
     /** Ends the loading of an earlier scheduler's jobs and workers; later ones count as new. */
@@ -275,7 +280,7 @@
         List<Order> orders = new ArrayList<>(workers.orphans().takeDueStops(now.monotonicMillis()));
         orders.addAll(ObsoleteRuns.stopOrders(jobs.all(), this, now));
         orders.addAll(drainPolicy.stopOrders(workers.all(), this, now));
-        observations.update(workers.all(), now);
+        observations.update(workers.all(), workers.takeCompletedRuns(), now);
         Round round = new Round(this, now);
         orders.addAll(round.decide(jobs.all()));
         waitReasons = Map.copyOf(round.waitReasons());
@@ -348,18 +353,6 @@
         return jobs.takeChangedProgress(workerReports.areComplete());
     }
 
-    /**
-     * Returns whether a worker has to be asked for its lists.
-     *
-     * @param id the worker, not null
-     * @return true if it has runs, or hasn't reported yet
-     */
-    public boolean needsPolling(WorkerId id) {
-        return workers.find(id)
-                .map(worker -> !worker.isIdle() || !worker.reported || workers.orphans().hasAny(id))
-                .orElse(false);
-    }
-
     /**
      * Returns whether a worker has runs, or may have some that it hasn't reported yet.
      *
@@ -371,16 +364,6 @@
                 || workers.find(id).map(worker -> !worker.isIdle()).orElse(false);
     }
 
-    /**
-     * Returns whether a worker is registered or may have runs.
-     *
-     * @param id the worker, not null
-     * @return false if it is neither
-     */
-    public boolean isWorkerKnown(WorkerId id) {
-        return workers.find(id).isPresent();
-    }
-
     /** The workers whose free capacity is known: those without orphaned runs. */
     Collection<WorkerState> workers() {
         return workers.all().stream()
--- a/core/src/main/java/io/cardamomshelf/core/schedule/WorkerReports.java
+++ b/core/src/main/java/io/cardamomshelf/core/schedule/WorkerReports.java
@@ -113,4 +113,26 @@
     public int countRuns() {
         return workers.all().stream().mapToInt(worker -> worker.runs().size()).sum();
     }
+
+    /**
+     * Returns whether a worker has to be asked for its lists.
+     *
+     * @param id the worker, not null
+     * @return true if it has runs, or hasn't reported yet
+     */
+    public boolean needsPolling(WorkerId id) {
+        return workers.find(id)
+                .map(worker -> !worker.isIdle() || !worker.reported || workers.orphans().hasAny(id))
+                .orElse(false);
+    }
+
+    /**
+     * Returns whether a worker is registered or may have runs.
+     *
+     * @param id the worker, not null
+     * @return false if it is neither
+     */
+    public boolean isWorkerKnown(WorkerId id) {
+        return workers.find(id).isPresent();
+    }
 }
--- a/node/src/main/java/io/cardamomshelf/node/event/NodeEvent.java
+++ b/node/src/main/java/io/cardamomshelf/node/event/NodeEvent.java
@@ -142,6 +142,11 @@
             6009,
             "A worker's entry or lists aren't used, or not yet, as they are of another incarnation"
                     + " than the current one; one line for each change of either."),
+    /** Workers got another speed class. */
+    WORKER_SPEEDS_CHANGED(
+            6010,
+            "Workers were found to be slower or faster than the fleet's mean, or no longer; at most"
+                    + " one line a second."),
     /** Two kinds of tasks interfere with each other. */
     INTERFERENCE_FOUND(
             6011,
--- a/node/src/main/java/io/cardamomshelf/node/metric/ServiceMetrics.java
+++ b/node/src/main/java/io/cardamomshelf/node/metric/ServiceMetrics.java
@@ -59,6 +59,14 @@
         /** Starts that avoided interference. */
         STARTS_AVOIDING_INTERFERENCE(
                 "Starts on a worker with less interference than another one that had room."),
+        /** Workers with a known speed. */
+        KNOWN_WORKER_SPEEDS("Workers whose relative speed is known, at the scheduler, else 0."),
+        /** Lowest speed of a worker. */
+        LOWEST_WORKER_SPEED_PERCENT(
+                "The lowest known speed of a worker, in percent of the fleet's mean, else 100."),
+        /** Highest speed of a worker. */
+        HIGHEST_WORKER_SPEED_PERCENT(
+                "The highest known speed of a worker, in percent of the fleet's mean, else 100."),
         /** Calls in flight. */
         IN_FLIGHT("Calls of callers that aren't answered yet.");
 
--- a/node/src/main/java/io/cardamomshelf/node/schedule/RosterWriter.java
+++ b/node/src/main/java/io/cardamomshelf/node/schedule/RosterWriter.java
@@ -67,7 +67,9 @@
     /** Drops the stored workers that aren't registered and can't have runs any more. */
     void dropUnregistered(Set<WorkerId> registered) {
         for (WorkerId id : new ArrayList<>(storedEndpoints.keySet())) {
-            if (!registered.contains(id) && !state.mayHaveRuns(id) && !state.needsPolling(id)) {
+            if (!registered.contains(id)
+                    && !state.mayHaveRuns(id)
+                    && !state.workerReports().needsPolling(id)) {
                 storedEndpoints.remove(id);
                 sentEndpoints.remove(id);
                 beingDropped.add(id);
--- a/node/src/main/java/io/cardamomshelf/node/schedule/SchedulerTerm.java
+++ b/node/src/main/java/io/cardamomshelf/node/schedule/SchedulerTerm.java
@@ -4,7 +4,6 @@
 import io.cardamomshelf.core.base.OrganisationId;
 import io.cardamomshelf.core.base.WorkerId;
 import io.cardamomshelf.core.schedule.ClockReading;
-import io.cardamomshelf.core.schedule.FleetLoad;
 import io.cardamomshelf.core.schedule.Order;
 import io.cardamomshelf.core.schedule.OrganisationLimits;
 import io.cardamomshelf.core.schedule.SchedulerState;
@@ -29,6 +28,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Function;
 import java.util.stream.Collectors;
 
 /**
@@ -139,8 +139,8 @@
         return context.epoch();
     }
 
-    FleetLoad load() {
-        return state.load(context.clock().now());
+    <T> T read(Function<SchedulerState, T> reader) {
+        return reader.apply(state);
     }
 
     SchedulerAppender appender() {
--- a/node/src/main/java/io/cardamomshelf/node/schedule/WorkerLink.java
+++ b/node/src/main/java/io/cardamomshelf/node/schedule/WorkerLink.java
@@ -119,7 +119,8 @@
         if (incarnations.isCurrent(bornMillis)) {
             incarnations.takeAnnounced();
             useEntry(entry, false);
-        } else if (bornMillis > info.bornMillis() || !state.isWorkerKnown(info.id())) {
+        } else if (bornMillis > info.bornMillis()
+                || !state.workerReports().isWorkerKnown(info.id())) {
             incarnations.takeAnnounced();
             beginWithEntry(entry);
         } else if (incarnations.announce(entry)) {
@@ -223,7 +224,7 @@
     }
 
     private boolean needsRenewal() {
-        return state.needsPolling(info.id())
+        return state.workerReports().needsPolling(info.id())
                 || acknowledgements.hasUnstored(lastEndNumber())
                 || acknowledgements.isDue()
                 || consecutiveFailures > 0
@@ -374,7 +375,7 @@
             events.lost(cause);
         }
         owner.workerLost(info.id(), unansweredBeforeMillis);
-        if (!state.isWorkerKnown(info.id())) {
+        if (!state.workerReports().isWorkerKnown(info.id())) {
             resetRenewalState();
         }
     }
