Shorten leases to 5 s, so that tasks of lost workers start in time after a takeover

A restart of all instances takes 3.1 s to the first renewal, and the last one is a second old at most.

Test: SchedulerSettingsTest, red with 5.5 s (9,710 ms).

--- a/node/src/main/java/io/cardamomshelf/node/schedule/SchedulerSettings.java
+++ b/node/src/main/java/io/cardamomshelf/node/schedule/SchedulerSettings.java
@@ -20,7 +20,7 @@
      * the restart of all instances if the first of them renews a lease within this time, and the
      * tasks of a lost worker wait for it.
      */
-    private static final long LEASE_MILLIS = 5_500;
+    private static final long LEASE_MILLIS = 5_000;
 
     /** Added to the configured retention, so that no record is dropped early, in milliseconds. */
     private static final long KEPT_MARGIN_MILLIS = 30_000;
