Order equal priorities by the organisations' weighted dominant shares

Callers saw: the jobs of an organisation with little work waited behind the large queue of another one, whatever the configured weights.

Cause: work of equal priority was ordered by acceptance or latest start only.

If any organisation has a weight and more work waits than fits into what is free, the next start of a priority is of the organisation with the lowest weighted dominant share: its current usage with what the round has started, or its average of the last seconds if that is higher. Work within a guarantee and starved gangs keep their precedence; within an organisation the order is the old one. Without weights, nothing is computed.

As a group now may have several turns in a round, a cap's claim belongs to its group and is replaced by its next one.

Ruled out: one order by share for a whole round, as the lowest organisation would take all that is free.

--- a/core/src/main/java/io/cardamomshelf/core/schedule/OrganisationCaps.java
+++ b/core/src/main/java/io/cardamomshelf/core/schedule/OrganisationCaps.java
@@ -3,7 +3,9 @@
 import io.cardamomshelf.core.base.OrganisationId;
 import io.cardamomshelf.core.task.Resources;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Map;
+import java.util.Set;
 
 /**
  * Decides in one round how many waiting tasks may start under the caps of their organisations.
@@ -27,15 +29,29 @@
         private final Resources capWithOverage;
         private Resources used;
         private Resources claimed = Resources.NONE;
+        private final Map<TaskGroup, Resources> claims = new HashMap<>();
 
         private Account(OrganisationLimits limits, double overage, Resources used) {
             this.cap = limits.capWithOverage(0);
             this.capWithOverage = limits.capWithOverage(overage);
-            this.used = used;
+            this.used = limited(used);
         }
 
-        private int copies(Resources demand) {
-            return demand.copiesIn(cap.minus(used).minus(claimed));
+        /** The parts of an amount that the cap limits; others never matter. */
+        private Resources limited(Resources amount) {
+            return new Resources(
+                    cap.cpuMillis() == Long.MAX_VALUE ? 0 : amount.cpuMillis(),
+                    cap.memoryMb() == Long.MAX_VALUE ? 0 : amount.memoryMb(),
+                    cap.accelerators() == Integer.MAX_VALUE ? 0 : amount.accelerators());
+        }
+
+        /** How many tasks fit under the cap, beside the claims of other groups. */
+        private int copies(TaskGroup group, Resources demand) {
+            return demand.copiesIn(cap.minus(used).minus(claimedByOthers(group)));
+        }
+
+        private Resources claimedByOthers(TaskGroup group) {
+            return claimed.minus(claims.getOrDefault(group, Resources.NONE));
         }
 
         private boolean canEverFit(Resources demand, int count) {
@@ -43,21 +59,23 @@
         }
 
         /** Whether tasks that need more than the cap may use its overage, as nothing else runs. */
-        private boolean mayUseOverage(Resources demand, int count) {
+        private boolean mayUseOverage(TaskGroup group, Resources demand, int count) {
             return used.equals(Resources.NONE)
-                    && claimed.equals(Resources.NONE)
+                    && claimedByOthers(group).equals(Resources.NONE)
                     && canEverFit(demand, count);
         }
 
-        private void claim(Resources demand, int count) {
+        private void claim(TaskGroup group, Resources demand, int count) {
             if (canEverFit(demand, count)) {
-                claimed = claimed.plusSaturated(demand.timesSaturated(count));
+                Resources amount = demand.timesSaturated(count);
+                claimed = claimedByOthers(group).plusSaturated(amount);
+                claims.put(group, amount);
             }
         }
     }
 
     private final Map<OrganisationId, Account> accounts = new HashMap<>();
-    private int waitingGroups;
+    private final Set<TaskGroup> waitingGroups = new HashSet<>();
 
     /**
      * Creates the caps of one round.
@@ -86,15 +104,15 @@
         if (account == null) {
             return waitingCount;
         }
-        Resources demand = group.spec().demand();
+        Resources demand = account.limited(group.spec().demand());
         int unit = group.spec().gang() ? waitingCount : 1;
-        int allowed = Math.min(waitingCount, account.copies(demand));
+        int allowed = Math.min(waitingCount, account.copies(group, demand));
         if (allowed < unit) {
-            allowed = account.mayUseOverage(demand, unit) ? unit : 0;
+            allowed = account.mayUseOverage(group, demand, unit) ? unit : 0;
         }
         if (allowed < waitingCount) {
-            waitingGroups++;
-            account.claim(demand, unit);
+            waitingGroups.add(group);
+            account.claim(group, demand, unit);
         }
         return allowed;
     }
@@ -103,7 +121,7 @@
     void claim(TaskGroup group, int count) {
         Account account = account(group);
         if (account != null) {
-            account.claim(group.spec().demand(), count);
+            account.claim(group, account.limited(group.spec().demand()), count);
         }
     }
 
@@ -111,13 +129,14 @@
     void recordStarts(TaskGroup group, int count) {
         Account account = account(group);
         if (account != null) {
-            account.used = account.used.plusSaturated(group.spec().demand().timesSaturated(count));
+            Resources demand = account.limited(group.spec().demand());
+            account.used = account.used.plusSaturated(demand.timesSaturated(count));
         }
     }
 
     /** The number of groups that the round didn't start, or not as a whole, because of a cap. */
     int waitingGroups() {
-        return waitingGroups;
+        return waitingGroups.size();
     }
 
     private Account account(TaskGroup group) {
--- a/core/src/main/java/io/cardamomshelf/core/schedule/OrganisationTable.java
+++ b/core/src/main/java/io/cardamomshelf/core/schedule/OrganisationTable.java
@@ -1,7 +1,9 @@
 package io.cardamomshelf.core.schedule;
 
 import io.cardamomshelf.core.base.OrganisationId;
+import java.util.Collection;
 import java.util.Map;
+import java.util.Optional;
 
 /** The configured limits of the organisations, and what of them may be running. */
 final class OrganisationTable {
@@ -10,7 +12,9 @@
     private final WorkerTable workers;
     private final double quotaOverage;
     private Map<OrganisationId, OrganisationLimits> limits = Map.of();
-    private boolean isLimited;
+    private final RecentUsage recentUsage = new RecentUsage();
+    private boolean hasCaps;
+    private boolean hasWeights;
 
     /**
      * Creates a table without limits.
@@ -25,7 +29,8 @@
 
     void configure(Map<OrganisationId, OrganisationLimits> newLimits) {
         limits = Map.copyOf(newLimits);
-        isLimited = limits.values().stream().anyMatch(OrganisationLimits::hasCap);
+        hasCaps = limits.values().stream().anyMatch(OrganisationLimits::hasCap);
+        hasWeights = limits.values().stream().anyMatch(OrganisationLimits::hasWeight);
     }
 
     int guarantee(OrganisationId organisation) {
@@ -37,9 +42,21 @@
         return limits;
     }
 
-    /** What may be running; nothing is computed while no organisation is limited. */
+    /** What may be running; nothing is computed without caps and weights. */
     OrganisationUsage usage(ClockReading now) {
-        return isLimited ? OrganisationUsage.of(workers, jobs, now) : OrganisationUsage.NONE;
+        return hasCaps || hasWeights
+                ? OrganisationUsage.of(workers, jobs, now)
+                : OrganisationUsage.NONE;
+    }
+
+    /** The shares for one round, empty if no organisation has a weight. */
+    Optional<DominantShares> shares(
+            OrganisationUsage usage, Collection<WorkerState> workerStates, ClockReading now) {
+        if (!hasWeights) {
+            return Optional.empty();
+        }
+        recentUsage.update(usage, now.monotonicMillis());
+        return Optional.of(new DominantShares(limits, usage, recentUsage, workerStates));
     }
 
     /** The caps for one round. */
--- a/core/src/main/java/io/cardamomshelf/core/schedule/PlacementOrder.java
+++ b/core/src/main/java/io/cardamomshelf/core/schedule/PlacementOrder.java
@@ -9,6 +9,10 @@
 /**
  * The order in which waiting groups get capacity.
  *
+ * <p>If organisations have weights, {@link FairTurns} orders work of equal priority by their shares
+ * while there is more of it than capacity. Within an organisation, and without weights, the order
+ * is this one.
+ *
  * <p>Urgent work within its organisation's guarantee comes first, then the order is by priority.
  * Urgent work of one priority is ordered by acceptance, as is work that runs as many single tasks:
  * these use what is left beside gangs, and a job that has partly run shouldn't wait behind others.
@@ -49,7 +53,13 @@
                 .thenComparing(TaskGroup::step);
     }
 
-    private boolean isGuaranteed(TaskGroup group) {
+    /** Whether groups have the same priority, and the same part in a guarantee. */
+    boolean haveEqualRank(TaskGroup first, TaskGroup second) {
+        return priority(first) == priority(second) && isGuaranteed(first) == isGuaranteed(second);
+    }
+
+    /** Whether a group is urgent and within its organisation's guarantee. */
+    boolean isGuaranteed(TaskGroup group) {
         return priority(group) == 0 && withinGuarantee.contains(group.owner().job().organisation());
     }
 
--- a/core/src/main/java/io/cardamomshelf/core/schedule/Round.java
+++ b/core/src/main/java/io/cardamomshelf/core/schedule/Round.java
@@ -30,6 +30,7 @@
     private final LocalityPolicy localityPolicy;
     private final Reservations reservations;
     private final OrganisationCaps caps;
+    private final Optional<DominantShares> shares;
     private final List<Order> orders = new ArrayList<>();
     private final Map<JobId, WaitReason> waitReasons = new HashMap<>();
 
@@ -41,7 +42,9 @@
         Forecast forecast = new Forecast(capacity, now);
         this.localityPolicy = new LocalityPolicy(forecast, now);
         this.reservations = new Reservations(capacity, forecast, now);
-        this.caps = state.organisations().caps(state.organisations().usage(now));
+        OrganisationUsage usage = state.organisations().usage(now);
+        this.caps = state.organisations().caps(usage);
+        this.shares = state.organisations().shares(usage, state.workers(), now);
     }
 
     List<Order> decide(Collection<LiveJob> jobs) {
@@ -57,8 +60,12 @@
                 groups.addAll(job.readyGroups(now.wallMillis()));
             }
         }
-        groups.sort(new PlacementOrder(withinGuarantee, this::policy, now).comparator());
-        groups.forEach(this::place);
+        PlacementOrder order = new PlacementOrder(withinGuarantee, this::policy, now);
+        groups.sort(order.comparator());
+        Optional<DominantShares> exceeded = shares.filter(all -> all.isExceededBy(groups));
+        exceeded.ifPresentOrElse(
+                all -> new FairTurns(order, all, now, this::place).place(groups),
+                () -> groups.forEach(group -> place(group, group.spec().count())));
         return orders;
     }
 
@@ -93,10 +100,14 @@
         return requested.keySet();
     }
 
-    private void place(TaskGroup group) {
+    /**
+     * Places waiting tasks of a group, at most the given number unless it is a gang. Returns
+     * whether they were started and the next ones may be placed too.
+     */
+    private boolean place(TaskGroup group, int maxTasks) {
         List<Integer> waitingTasks = tasksWithinCap(group, tasksWithoutRuns(group));
         if (waitingTasks.isEmpty()) {
-            return;
+            return false;
         }
         boolean isMostlyIdle = capacity.isMostlyIdle(policy(group).service());
         group.updateIdleDelay(isMostlyIdle, now.monotonicMillis());
@@ -105,9 +116,10 @@
         }
         if (group.spec().gang()) {
             place(group, waitingTasks);
-        } else {
-            placeOneByOne(group, waitingTasks);
+            return false;
         }
+        int count = Math.min(maxTasks, waitingTasks.size());
+        return placeOneByOne(group, waitingTasks.subList(0, count)) && count < waitingTasks.size();
     }
 
     /**
@@ -145,12 +157,13 @@
         return tasks.subList(0, allowed);
     }
 
-    private void placeOneByOne(TaskGroup group, List<Integer> waitingTasks) {
+    private boolean placeOneByOne(TaskGroup group, List<Integer> waitingTasks) {
         for (int index : waitingTasks) {
             if (!place(group, List.of(index))) {
-                break;
+                return false;
             }
         }
+        return true;
     }
 
     /**
@@ -347,10 +360,12 @@
     private void hold(TaskGroup group, List<WorkerState> hosts) {
         hosts.forEach(host -> capacity.hold(host, group.spec().allocation()));
         caps.claim(group, hosts.size());
+        shares.ifPresent(all -> all.charge(group, hosts.size()));
     }
 
     private void start(TaskGroup group, List<Integer> tasks, List<WorkerState> hosts) {
         caps.recordStarts(group, tasks.size());
+        shares.ifPresent(all -> all.charge(group, tasks.size()));
         group.owner().hostIntents().markStarted(ids(hosts));
         long run = state.nextRunNumber();
         for (int i = 0; i < tasks.size(); i++) {
--- a/core/src/test/java/io/cardamomshelf/core/schedule/LoadSimulation.java
+++ b/core/src/test/java/io/cardamomshelf/core/schedule/LoadSimulation.java
@@ -119,6 +119,7 @@
     private final Map<JobId, SimulatedJob> jobs = new LinkedHashMap<>();
     private final Map<String, Tally> tallies = new TreeMap<>();
     private final List<JobId> unconfirmed = new ArrayList<>();
+    private Map<String, OrganisationId> organisations = Map.of();
     private Optional<Burst> burst = Optional.empty();
     private Resources workerCapacity = Resources.NONE;
     private int maxGangHosts = Integer.MAX_VALUE;
@@ -167,6 +168,14 @@
         return ordersDigest;
     }
 
+    /** Sets which organisation each class of jobs is of, and what these may use. */
+    LoadSimulation withOrganisations(
+            Map<String, OrganisationId> byClass, Map<OrganisationId, OrganisationLimits> limits) {
+        organisations = byClass;
+        schedulerState.configure(Map.of(), limits);
+        return this;
+    }
+
     /** Limits the width of gangs to what fits on a number of workers, such as those of a rack. */
     LoadSimulation withMaxGangHosts(int hosts) {
         maxGangHosts = hosts;
@@ -252,7 +261,12 @@
         JobId id = JobId.of(String.format("%016x", jobs.size() + 1));
         JobRequest request = new JobRequest("x", List.of(step), 0, 0, 0);
         TaskJob job =
-                new TaskJob(id, OrganisationId.of("circle"), jobClass.queue(), nowMillis, request);
+                new TaskJob(
+                        id,
+                        organisations.getOrDefault(jobClass.name(), SchedulerFixture.ORGANISATION),
+                        jobClass.queue(),
+                        nowMillis,
+                        request);
         jobs.put(
                 id,
                 new SimulatedJob(
