Show the use of the organisations' caps in metrics

Per organisation with a cap, the accelerators that may be in use and the cap; the number of groups that wait for a cap, also in FLEET_LOAD (6007).

--- a/core/src/main/java/io/cardamomshelf/core/schedule/FleetLoad.java
+++ b/core/src/main/java/io/cardamomshelf/core/schedule/FleetLoad.java
@@ -50,7 +50,11 @@
      * @param used those of the tasks that may be running
      * @param cap the most that it may have running, 0 if that is unlimited
      */
-    public record Quota(int used, int cap) {}
+    public record Quota(int used, int cap) {
+
+        /** No tasks and no cap. */
+        public static final Quota NONE = new Quota(0, 0);
+    }
 
     /** Creates a load. */
     public FleetLoad {
--- a/node/src/main/java/io/cardamomshelf/node/Node.java
+++ b/node/src/main/java/io/cardamomshelf/node/Node.java
@@ -229,6 +229,12 @@
 
     private void operatorsViewChanged() {
         candidate.operatorsChanged();
+        operators
+                .configuration()
+                .ifPresent(
+                        configuration ->
+                                SchedulerGauges.registerCaps(
+                                        metrics, candidate, clock, configuration));
     }
 
     private long jobsPosition() {
--- a/node/src/main/java/io/cardamomshelf/node/metric/ServiceMetrics.java
+++ b/node/src/main/java/io/cardamomshelf/node/metric/ServiceMetrics.java
@@ -67,6 +67,18 @@
         /** Highest speed of a worker. */
         HIGHEST_WORKER_SPEED_PERCENT(
                 "The highest known speed of a worker, in percent of the fleet's mean, else 100."),
+        /** Accelerators in use by organisation. */
+        USED_ACCELERATORS(
+                "Accelerators of tasks that may be running, by organisation with a cap, at the"
+                        + " scheduler, else 0."),
+        /** Caps by organisation. */
+        CAP_ACCELERATORS(
+                "Accelerators that may be in use, by organisation with a cap, at the scheduler,"
+                        + " else 0; 0 if they are unlimited."),
+        /** Groups that wait for a cap. */
+        GROUPS_OVER_CAP(
+                "Groups of tasks that wait for the cap of their organisation, at the scheduler,"
+                        + " else 0."),
         /** Calls in flight. */
         IN_FLIGHT("Calls of callers that aren't answered yet.");
 
@@ -150,6 +162,17 @@
         gauge.setValue(value);
     }
 
+    /**
+     * Registers a gauge of a series, unless it is registered already.
+     *
+     * @param name the metric, not null
+     * @param value supplies the value, not null
+     * @param labelValues the label values of the series, not null
+     */
+    public void gaugeIfAbsent(Name name, LongSupplier value, Object... labelValues) {
+        registry.gauge(seriesName(name, labelValues), () -> (Gauge<Long>) value::getAsLong);
+    }
+
     MetricRegistry registry() {
         return registry;
     }
--- a/node/src/main/java/io/cardamomshelf/node/schedule/RoundReporter.java
+++ b/node/src/main/java/io/cardamomshelf/node/schedule/RoundReporter.java
@@ -140,6 +140,7 @@
                 .with("running", load.running())
                 .with("waiting", load.waiting())
                 .with("waitingJobs", lastWaits.size())
+                .with("groupsOverCap", load.groupsOverCap())
                 .write();
     }
 
