--- a/core/src/test/java/io/cardamomshelf/core/schedule/OrganisationCapsTest.java
+++ b/core/src/test/java/io/cardamomshelf/core/schedule/OrganisationCapsTest.java
@@ -167,6 +167,30 @@
             assertEquals(1, fixture.decideStarts().size());
         }
 
+        @Test
+        void runsThatAWorkerHadListedBeforeItWasRebornNoLongerCount() {
+            begin();
+            fixture.submit(1, 1, tasks(1, 8));
+            Order.Start start = fixture.startAll().get(0);
+            fixture.report(start.worker().value(), running(start.task(), start.run()));
+            fixture.submit(2, 1, tasks(1, 1));
+            assertEquals(List.of(), fixture.decideStarts());
+            fixture.state.cancel(job(1));
+            fixture.restartWorker(start.worker().value());
+            assertEquals(1, fixture.decideStarts().size());
+        }
+
+        @Test
+        void aStartThatMayBeOnTheRebornWorkerCounts() {
+            begin();
+            fixture.submit(1, 1, tasks(1, 8));
+            Order.Start start = fixture.decideStarts().get(0);
+            fixture.state.handleFailedStart(start, true, fixture.now());
+            fixture.restartWorker(start.worker().value()).submit(2, 1, tasks(1, 1));
+            assertEquals(List.of(), fixture.decideStarts());
+            assertWaitsForCap(2);
+        }
+
         @Test
         void aLowerCapLimitsOnlyNewStarts() {
             begin();
