Test that speeds of an earlier incarnation aren't compared

A worker may be slower after a restart. The first speeds that are kept for a step on a worker belong to one incarnation; nothing tested that. With the incarnation left out of the key the new test fails with 1 pair instead of 0.

--- a/core/src/test/java/io/cardamomshelf/core/schedule/ServingInterferenceTest.java
+++ b/core/src/test/java/io/cardamomshelf/core/schedule/ServingInterferenceTest.java
@@ -40,6 +40,10 @@
     private void start(int number, int priority) {
         fixture.submit(
                 number, priority, step(WORKERS, 8_000, 32_000, 1).maxPerWorker(1).longRunning());
+        startAll();
+    }
+
+    private void startAll() {
         fixture.startAll().forEach(start -> runs.get(start.worker().value()).add(start));
     }
 
@@ -107,6 +111,22 @@
             assertEquals(0, fixture.state.observations().interferingPairs());
         }
 
+        /** Guards against a worker that is slower after a restart than before. */
+        @Test
+        void arentComparedWithThoseOfAnEarlierIncarnation() {
+            advanceSeconds(6, OptionalLong.of(40));
+            runs.forEach(
+                    (name, starts) -> {
+                        starts.clear();
+                        fixture.restartWorker(name);
+                    });
+            startAll();
+            start(2, 1);
+            runs.values().forEach(starts -> assertEquals(2, starts.size()));
+            advanceSeconds(6, OptionalLong.of(70));
+            assertEquals(0, fixture.state.observations().interferingPairs());
+        }
+
         /** Guards against a missing latency that is taken for a low one. */
         @Test
         void arentComparedWithoutALatency() {
