Stop late starts after each failed call, as the worker may have restarted

Cause: a start without an answer was stopped on a new incarnation only once an answer or an entry had shown that incarnation.

Now each call for a worker's lists that gets no answer is followed by stops of the starts that may still arrive and whose runs are over.

Ruled out: the clocks that are set; a restart hidden by a lower born; an end counted for another run.

"areNotStoppedWhileTheirRunGoesOn" fails if known runs are stopped too (tried).

--- a/core/src/main/java/io/cardamomshelf/core/schedule/WorkerReports.java
+++ b/core/src/main/java/io/cardamomshelf/core/schedule/WorkerReports.java
@@ -105,6 +105,16 @@
         return workers.find(id).map(worker -> worker.info().rack()).orElse("");
     }
 
+    /**
+     * Returns whether a run is ordered, running or being stopped on the order's worker.
+     *
+     * @param order the order of the run, not null
+     * @return false once its end is certain
+     */
+    public boolean isRunKnown(Order order) {
+        return workers.find(order).isPresent();
+    }
+
     /**
      * Counts the runs that are ordered, running or being stopped, on all workers.
      *
--- a/node/src/main/java/io/cardamomshelf/node/schedule/OrderSender.java
+++ b/node/src/main/java/io/cardamomshelf/node/schedule/OrderSender.java
@@ -10,11 +10,7 @@
 import io.cardamomshelf.node.event.NodeEvent;
 import io.cardamomshelf.node.port.WorkerOrders;
 import io.cardamomshelf.node.port.WorkerOrders.Answer;
-import java.util.ArrayDeque;
-import java.util.Deque;
-import java.util.LinkedHashSet;
 import java.util.OptionalLong;
-import java.util.Set;
 
 /**
  * Sends starts and stops of runs to one worker, and reports the outcomes to the scheduler state.
@@ -25,8 +21,9 @@
  * an unhealthy worker refuses calls without doing anything.
  *
  * <p>A start without an answer may be carried out seconds later, also by the worker's next
- * incarnation, which doesn't know that the run was stopped or has ended. It is therefore stopped on
- * each new incarnation for as long as it may arrive.
+ * incarnation, which doesn't know that the run was stopped or has ended. For as long as it may
+ * arrive, it is therefore stopped on each new incarnation, and, once its run is over, after each
+ * call that failed.
  *
  * <p>Use: {@link WorkerLink} has one sender, and implements {@link Worker} for it.
  *
@@ -82,8 +79,6 @@
 
     private static final int MAX_START_ATTEMPTS = 2;
 
-    private record UnansweredStart(Order.Start start, long sentMillis) {}
-
     private final Timers timers;
     private final WorkerOrders orders;
     private final SchedulerState state;
@@ -93,8 +88,7 @@
     private final LeaseClock leaseClock;
     private final Worker worker;
 
-    /** The starts that got no answer and may still be carried out, oldest first. */
-    private final Deque<UnansweredStart> unansweredStarts = new ArrayDeque<>();
+    private final UnansweredStarts unansweredStarts = new UnansweredStarts();
 
     OrderSender(
             SchedulerTermContext context,
@@ -121,17 +115,44 @@
 
     /** Makes a new incarnation refuse the starts that may still arrive there. */
     void stopUnansweredStarts() {
-        long oldestMillis = clock.monotonicMillis() - LeaseClock.MAX_CALL_DELAY_MILLIS;
-        unansweredStarts.removeIf(unanswered -> unanswered.sentMillis() < oldestMillis);
-        Set<Order.Start> starts = new LinkedHashSet<>();
-        unansweredStarts.forEach(unanswered -> starts.add(unanswered.start()));
-        for (Order.Start start : starts) {
-            stop(
-                    new Order.Stop(
-                            start.worker(),
-                            start.task(),
-                            start.run(),
-                            Order.StopReason.START_ABORTED));
+        unansweredStarts.at(clock.monotonicMillis()).forEach(start -> stop(abort(start)));
+    }
+
+    /**
+     * Makes an incarnation that may have begun unnoticed refuse the starts whose runs are over.
+     * Called after each call without an answer, as the worker may have restarted since and may
+     * receive calls though its answers are lost. The other starts are left out, as the current
+     * incarnation may have their runs.
+     */
+    void stopStartsOfEndedRuns() {
+        if (worker.isClosed() || worker.isFenced()) {
+            return;
+        }
+        unansweredStarts.at(clock.monotonicMillis()).stream()
+                .filter(start -> !state.workerReports().isRunKnown(start))
+                .forEach(this::stopOnce);
+    }
+
+    private static Order.Stop abort(Order.Start start) {
+        return new Order.Stop(
+                start.worker(), start.task(), start.run(), Order.StopReason.START_ABORTED);
+    }
+
+    /** Sends a stop that isn't repeated, as the caller does that for as long as calls fail. */
+    private void stopOnce(Order.Start start) {
+        SentCall call = new SentCall(worker.bornMillis(), clock.monotonicMillis());
+        orders.stop(worker.target(), abort(start), token, TIMEOUT_MILLIS)
+                .subscribe()
+                .with(reply -> observeAnswer(call, reply));
+    }
+
+    private void observeAnswer(SentCall call, WorkerOrders.Reply reply) {
+        if (worker.isClosed()) {
+            return;
+        }
+        worker.observeClock(reply.clockMillis(), call);
+        if (reply.answer() == Answer.FENCED) {
+            worker.fenced();
         }
     }
 
@@ -169,7 +190,7 @@
         if (reply.answer().isFromWorker()) {
             leaseClock.callAnswered(call.sentMillis());
         } else {
-            unansweredStarts.addLast(new UnansweredStart(start, call.sentMillis()));
+            unansweredStarts.add(start, call.sentMillis());
         }
         worker.observeClock(reply.clockMillis(), call);
         if (reply.answer() != Answer.DONE) {
--- a/node/src/main/java/io/cardamomshelf/node/schedule/WorkerLink.java
+++ b/node/src/main/java/io/cardamomshelf/node/schedule/WorkerLink.java
@@ -359,6 +359,7 @@
         if (consecutiveFailures >= UNRESPONSIVE_AFTER_FAILURES) {
             declareLostOnceLeasesLapsed();
         }
+        orderSender.stopStartsOfEndedRuns();
         pause.begin(RETRY_PAUSE_MILLIS);
     }
 
