Stop late starts at intervals, as nothing shows that an idle worker restarted

Cause: an idle worker isn't called, so no call fails when it restarts, and the start that may still arrive wasn't stopped there before its entry or its lists came.

WorkerReports.isRunKnown became hasRunOf: on the tests' fake worker a stop ends a run of a higher number too, and WorkerRestartTest "areNotRepeatedToANewIncarnationThatHasReported" failed with the former.

The gap isn't closed: a start that arrives before every call sent after the restart is still carried out.

--- a/core/src/main/java/io/cardamomshelf/core/schedule/WorkerReports.java
+++ b/core/src/main/java/io/cardamomshelf/core/schedule/WorkerReports.java
@@ -1,6 +1,7 @@
 package io.cardamomshelf.core.schedule;
 
 import io.cardamomshelf.core.base.WorkerId;
+import io.cardamomshelf.core.task.TaskId;
 import java.util.List;
 import java.util.Set;
 
@@ -106,13 +107,16 @@
     }
 
     /**
-     * Returns whether a run is ordered, running or being stopped on the order's worker.
+     * Returns whether a worker has or may have a run of a task that this scheduler knows.
      *
-     * @param order the order of the run, not null
-     * @return false once its end is certain
+     * @param id the worker, not null
+     * @param task the task, not null
+     * @return true if such a run is ordered, running or being stopped there
      */
-    public boolean isRunKnown(Order order) {
-        return workers.find(order).isPresent();
+    public boolean hasRunOf(WorkerId id, TaskId task) {
+        return workers.find(id)
+                .map(worker -> worker.runs().stream().anyMatch(run -> run.task.equals(task)))
+                .orElse(false);
     }
 
     /**
--- a/node/src/main/java/io/cardamomshelf/node/schedule/OrderSender.java
+++ b/node/src/main/java/io/cardamomshelf/node/schedule/OrderSender.java
@@ -22,8 +22,8 @@
  *
  * <p>A start without an answer may be carried out seconds later, also by the worker's next
  * incarnation, which doesn't know that the run was stopped or has ended. For as long as it may
- * arrive, it is therefore stopped on each new incarnation, and, once its run is over, after each
- * call that failed.
+ * arrive, it is therefore stopped on each new incarnation, and, once its run is over, at short
+ * intervals and after each call that failed.
  *
  * <p>Use: {@link WorkerLink} has one sender, and implements {@link Worker} for it.
  *
@@ -77,6 +77,12 @@
     /** The pause before a stop is repeated, in milliseconds. */
     private static final long RETRY_PAUSE_MILLIS = 250;
 
+    /**
+     * How often a start whose run is over is stopped while it may arrive late, in milliseconds. A
+     * restarted worker that calls reach can carry it out for no longer than this.
+     */
+    private static final long LATE_START_CHECK_MILLIS = 250;
+
     private static final int MAX_START_ATTEMPTS = 2;
 
     private final Timers timers;
@@ -89,6 +95,7 @@
     private final Worker worker;
 
     private final UnansweredStarts unansweredStarts = new UnansweredStarts();
+    private boolean checksLateStarts;
 
     OrderSender(
             SchedulerTermContext context,
@@ -119,26 +126,42 @@
     }
 
     /**
-     * Makes an incarnation that may have begun unnoticed refuse the starts whose runs are over.
-     * Called after each call without an answer, as the worker may have restarted since and may
-     * receive calls though its answers are lost. The other starts are left out, as the current
-     * incarnation may have their runs.
+     * Makes an incarnation that may have begun unnoticed refuse the starts of tasks without a known
+     * run there. The others are left out, as the stop might end the run on the current incarnation.
      */
     void stopStartsOfEndedRuns() {
         if (worker.isClosed() || worker.isFenced()) {
             return;
         }
         unansweredStarts.at(clock.monotonicMillis()).stream()
-                .filter(start -> !state.workerReports().isRunKnown(start))
+                .filter(start -> !state.workerReports().hasRunOf(start.worker(), start.task()))
                 .forEach(this::stopOnce);
     }
 
+    private void expectLate(Order.Start start, long sentMillis) {
+        unansweredStarts.add(start, sentMillis);
+        if (!checksLateStarts) {
+            checksLateStarts = true;
+            timers.after(LATE_START_CHECK_MILLIS, this::checkLateStarts);
+        }
+    }
+
+    /** Stops late starts at intervals, as an idle worker gets no calls that show a restart. */
+    private void checkLateStarts() {
+        checksLateStarts =
+                !worker.isClosed() && !unansweredStarts.at(clock.monotonicMillis()).isEmpty();
+        if (checksLateStarts) {
+            stopStartsOfEndedRuns();
+            timers.after(LATE_START_CHECK_MILLIS, this::checkLateStarts);
+        }
+    }
+
     private static Order.Stop abort(Order.Start start) {
         return new Order.Stop(
                 start.worker(), start.task(), start.run(), Order.StopReason.START_ABORTED);
     }
 
-    /** Sends a stop that isn't repeated, as the caller does that for as long as calls fail. */
+    /** Sends a stop that isn't repeated if it fails, as the next check sends it again. */
     private void stopOnce(Order.Start start) {
         SentCall call = new SentCall(worker.bornMillis(), clock.monotonicMillis());
         orders.stop(worker.target(), abort(start), token, TIMEOUT_MILLIS)
@@ -190,7 +213,7 @@
         if (reply.answer().isFromWorker()) {
             leaseClock.callAnswered(call.sentMillis());
         } else {
-            unansweredStarts.add(start, call.sentMillis());
+            expectLate(start, call.sentMillis());
         }
         worker.observeClock(reply.clockMillis(), call);
         if (reply.answer() != Answer.DONE) {
--- a/node/src/test/java/io/cardamomshelf/node/schedule/LateStartsTest.java
+++ b/node/src/test/java/io/cardamomshelf/node/schedule/LateStartsTest.java
@@ -5,6 +5,7 @@
 
 import io.cardamomshelf.core.base.JobId;
 import io.cardamomshelf.core.base.WorkerId;
+import io.cardamomshelf.core.schedule.LeaseClock;
 import io.cardamomshelf.core.task.RunEnd;
 import io.cardamomshelf.core.task.TaskId;
 import java.util.List;
@@ -91,4 +92,77 @@
             assertTrue(workers.isRunning(TASK));
         }
     }
+
+    /** No call shows that an idle worker has restarted. */
+    @Nested
+    class OnIdleWorkers {
+
+        /** Guards against a start soon after a restart that no call has shown. */
+        @Test
+        void areRefusedByAnIncarnationThatNothingElseHasShown() {
+            lead();
+            delayFirstAttempt();
+            finishTask();
+            restartBeforeArrival(360);
+            assertNotRepeated();
+        }
+
+        /** Guards against the same if the task was started again under the next number. */
+        @Test
+        void areRefusedThereIfTheirRunWasStopped() {
+            lead();
+            workers.lateMillis.put(worker, DELAY_MILLIS);
+            submitSmall(JOB);
+            while (workers.stops.isEmpty()) {
+                time.advance(1);
+            }
+            arrivalMillis = time.monotonicMillis() + DELAY_MILLIS - 700;
+            workers.lateMillis.clear();
+            while (!workers.isRunning(TASK)) {
+                time.advance(1);
+            }
+            finishTask();
+            restartBeforeArrival(360);
+            assertNotRepeated();
+        }
+
+        /** Guards against stops of starts that can't arrive any more. */
+        @Test
+        void areStoppedForNoLongerThanTheyMayArrive() {
+            lead();
+            delayFirstAttempt();
+            finishTask();
+            time.advance(LeaseClock.MAX_CALL_DELAY_MILLIS);
+            int stops = workers.stops.size();
+            time.advance(5_000);
+            assertEquals(stops, workers.stops.size());
+        }
+
+        /** Guards against more than four stops a second. */
+        @Test
+        void areStoppedAtIntervals() {
+            lead();
+            delayFirstAttempt();
+            finishTask();
+            int stops = workers.stops.size();
+            time.advance(5_000);
+            assertTrue(workers.stops.size() - stops <= 20);
+        }
+    }
+
+    @Nested
+    class BeforeAllLaterCalls {
+
+        /** Guards against a start that overtakes every call that could prevent it; known red. */
+        @Test
+        void areNotCarriedOutByTheNextIncarnation() {
+            lead();
+            delayFirstAttempt();
+            finishTask();
+            time.advance(arrivalMillis - 2_000 - time.monotonicMillis());
+            workers.lateMillis.put(worker, 10_000L);
+            restartBeforeArrival(1_000);
+            assertNotRepeated();
+        }
+    }
 }
