--- a/core/src/main/java/io/cardamomshelf/core/schedule/WorkerReports.java
+++ b/core/src/main/java/io/cardamomshelf/core/schedule/WorkerReports.java
@@ -1,6 +1,7 @@
 package io.cardamomshelf.core.schedule;
 
 import io.cardamomshelf.core.base.WorkerId;
+import io.cardamomshelf.core.task.TaskId;
 import java.util.List;
 import java.util.Set;
 
@@ -105,6 +106,19 @@
         return workers.find(id).map(worker -> worker.info().rack()).orElse("");
     }
 
+    /**
+     * Returns whether a worker has or may have a run of a task that this scheduler knows.
+     *
+     * @param id the worker, not null
+     * @param task the task, not null
+     * @return true if such a run is ordered, running or being stopped there
+     */
+    public boolean hasRunOf(WorkerId id, TaskId task) {
+        return workers.find(id)
+                .map(worker -> worker.runs().stream().anyMatch(run -> run.task.equals(task)))
+                .orElse(false);
+    }
+
     /**
      * Counts the runs that are ordered, running or being stopped, on all workers.
      *
