--- a/sessions/src/main/java/io/cardamomshelf/sessions/ChildProcess.java
+++ b/sessions/src/main/java/io/cardamomshelf/sessions/ChildProcess.java
@@ -61,17 +61,25 @@
      * @param output the file that its standard output is appended to, not null
      * @param errors the file for its standard error, not null
      * @param readyText the text that it logs once it is ready, not null
+     * @param options further options of its virtual machine, not null
      * @param mainClass the class to run, not null
      * @param args its arguments, not null
      * @return the process, never null
      * @throws SessionException if it ends before it is ready, or isn't within a minute
      */
     public static ChildProcess startLogging(
-            Path output, Path errors, String readyText, Class<?> mainClass, String... args)
+            Path output,
+            Path errors,
+            String readyText,
+            List<String> options,
+            Class<?> mainClass,
+            String... args)
             throws SessionException {
+        List<String> commandLine = command(mainClass, args);
+        commandLine.addAll(1 + JVM_OPTIONS.size(), options);
         try {
             Process process =
-                    new ProcessBuilder(command(mainClass, args))
+                    new ProcessBuilder(commandLine)
                             .redirectOutput(ProcessBuilder.Redirect.appendTo(output.toFile()))
                             .redirectError(errors.toFile())
                             .start();
@@ -218,6 +226,15 @@
         return ports.get(name);
     }
 
+    /**
+     * Returns the identifier of the process.
+     *
+     * @return the identifier
+     */
+    public long pid() {
+        return process.pid();
+    }
+
     /**
      * Checks whether the process is alive.
      *
--- a/sessions/src/main/java/io/cardamomshelf/sessions/Http.java
+++ b/sessions/src/main/java/io/cardamomshelf/sessions/Http.java
@@ -5,6 +5,7 @@
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
+import java.time.Duration;
 
 /**
  * A blocking HTTP client for sessions.
@@ -13,6 +14,9 @@
  */
 final class Http {
 
+    /** Many times the longest call, so that only an instance that hangs exceeds it. */
+    private static final Duration TIMEOUT = Duration.ofSeconds(20);
+
     private final HttpClient client = HttpClient.newHttpClient();
 
     /** Sends a request; the address has no {@code http://}, a null body stands for no body. */
@@ -23,7 +27,9 @@
                         ? HttpRequest.BodyPublishers.noBody()
                         : HttpRequest.BodyPublishers.ofString(body);
         HttpRequest.Builder request =
-                HttpRequest.newBuilder(URI.create("http://" + url)).method(method, publisher);
+                HttpRequest.newBuilder(URI.create("http://" + url))
+                        .timeout(TIMEOUT)
+                        .method(method, publisher);
         if (headers.length > 0) {
             request.headers(headers);
         }
--- a/sessions/src/main/java/io/cardamomshelf/sessions/PlatformDeployment.java
+++ b/sessions/src/main/java/io/cardamomshelf/sessions/PlatformDeployment.java
@@ -7,6 +7,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.regex.Matcher;
@@ -30,7 +31,21 @@
     private static final String PREFIX = "/jobs/";
     private static final Pattern NUMBER_FIELD = Pattern.compile("\"(\\w+)\":(\\d+)");
 
-    private record ServiceInstance(ChildProcess process, int callersPort, int readyPort) {}
+    private record ServiceInstance(ChildProcess process, Ports ports) {}
+
+    /**
+     * The ports of an instance.
+     *
+     * @param callers the port for callers
+     * @param ready the port for the readiness check
+     * @param metrics the port that exports metrics
+     */
+    public record Ports(int callers, int ready, int metrics) {
+
+        private static Ports free() throws SessionException {
+            return new Ports(freePort(), freePort(), freePort());
+        }
+    }
 
     private final Path folder;
     private final Http http = new Http();
@@ -66,20 +81,38 @@
      * @throws SessionException if it can't start
      */
     public void startInstance(String name) throws SessionException {
+        startInstance(name, List.of(), List.of());
+    }
+
+    /**
+     * Starts an instance of the service with further options, or restarts it with the same
+     * addresses.
+     *
+     * @param name its name, not null
+     * @param options further options of its virtual machine, not null
+     * @param furtherSettings further lines of its settings file, not null
+     * @throws SessionException if it can't start
+     */
+    public void startInstance(String name, List<String> options, List<String> furtherSettings)
+            throws SessionException {
         ServiceInstance previous = instances.get(name);
-        int callers = previous == null ? freePort() : previous.callersPort();
-        int ready = previous == null ? freePort() : previous.readyPort();
+        Ports ports = previous == null ? Ports.free() : previous.ports();
         Path settings = folder.resolve(name + ".conf");
-        write(settings, settings(name, callers, ready));
+        write(
+                settings,
+                settings(name, ports)
+                        + System.lineSeparator()
+                        + String.join(System.lineSeparator(), furtherSettings));
         ChildProcess child =
                 ChildProcess.startLogging(
                         logFile(name),
                         folder.resolve(name + ".err"),
                         "SERVICE_STARTED",
+                        options,
                         PlatformMain.class,
                         "--settings",
                         settings.toString());
-        instances.put(name, new ServiceInstance(child, callers, ready));
+        instances.put(name, new ServiceInstance(child, ports));
     }
 
     /**
@@ -94,13 +127,13 @@
         Path errors = folder.resolve(name + ".err");
         write(
                 settings,
-                settings(name, freePort(), freePort())
-                        .replace(storeAddress(), HOST + ":" + freePort()));
+                settings(name, Ports.free()).replace(storeAddress(), HOST + ":" + freePort()));
         int code =
                 ChildProcess.startLogging(
                                 logFile(name),
                                 errors,
                                 "SERVICE_STARTED",
+                                List.of(),
                                 PlatformMain.class,
                                 "--settings",
                                 settings.toString(),
@@ -182,7 +215,7 @@
     public Deployment.Reply call(
             String instance, String method, String path, String body, String key)
             throws SessionException {
-        String url = HOST + ":" + instances.get(instance).callersPort() + path;
+        String url = HOST + ":" + ports(instance).callers() + path;
         return http.send(method, url, body, "Api-Key", key);
     }
 
@@ -205,7 +238,19 @@
      * @throws SessionException if it doesn't answer
      */
     public boolean isReady(String instance) throws SessionException {
-        String url = HOST + ":" + instances.get(instance).readyPort() + "/ready";
+        String url = HOST + ":" + ports(instance).ready() + "/ready";
+        return http.send("GET", url, null).status() == 200;
+    }
+
+    /**
+     * Checks whether an instance exports its metrics.
+     *
+     * @param instance its name, not null
+     * @return true if it answers
+     * @throws SessionException if it doesn't answer
+     */
+    public boolean exportsMetrics(String instance) throws SessionException {
+        String url = HOST + ":" + ports(instance).metrics() + "/metrics";
         return http.send("GET", url, null).status() == 200;
     }
 
@@ -219,6 +264,16 @@
         return instances.get(instance).process();
     }
 
+    /**
+     * Returns the ports of an instance.
+     *
+     * @param instance its name, not null
+     * @return the ports, never null
+     */
+    public Ports ports(String instance) {
+        return instances.get(instance).ports();
+    }
+
     /**
      * Finds the instance with the latest won election in its log.
      *
@@ -291,9 +346,14 @@
         return folder.resolve(name + ".log");
     }
 
-    private String settings(String name, int callers, int ready) throws SessionException {
+    private String settings(String name, Ports ports) {
         return InstanceSettings.text(
-                name, "dc-1", callers, ready, freePort(), standinPort("store"));
+                name,
+                "dc-1",
+                ports.callers(),
+                ports.ready(),
+                ports.metrics(),
+                standinPort("store"));
     }
 
     private static String read(Path file) throws SessionException {
