Limit what clients make an instance hold: a budget for callers

What callers saw: some hundreds of clients that stalled short of a body's end, or that read no responses, exhausted the heap; the instance answered nobody any more, also after they had left. Connections that stalled in a head used up descriptors.

Cause: bodies were buffered before route and key were checked and without a limit over all connections; Vert.x queues pipelined requests and responses without a limit; nothing bounded connections or the time of a head.

Now CallerBudget, shared by the servers for callers, readiness and metrics, limits connections (in total, per address), bodies in memory, unread responses and waiting requests, pipelined requests, the time of a head and the rate of a body or of reading; documents have limits of tokens and depth. Each limit has a setting, a default derived from limits.memory_mb and limits.max_fds, and a counter. Route, key and declared length are checked on the head; what is refused isn't buffered, and a body that is too long gets 413 at once. Whoever has been incomplete longest gives way first. An invalid value of these settings is logged and replaced by its default. Lines that clients cause at will are limited to 20 a second.

Found on the way: a refusal quoted a wrong value in full, up to the whole body, in its answer and its log line; it quotes 300 characters now.

Ruled out: watching connections in request handlers, which see neither heads nor waiting requests; time-outs alone, which let stalled clients keep the others out.

Tests changed: constructors of JobService, CallersServer, NodeSettings and JobFormats have a further argument; no assertion is changed.

--- a/node/src/main/java/io/cardamomshelf/node/Node.java
+++ b/node/src/main/java/io/cardamomshelf/node/Node.java
@@ -2,11 +2,12 @@
 
 import io.cardamomshelf.node.event.EventLog;
 import io.cardamomshelf.node.event.NodeEvent;
+import io.cardamomshelf.node.ingress.CallerBudget;
 import io.cardamomshelf.node.ingress.CallersServer;
+import io.cardamomshelf.node.ingress.MetricsServer;
 import io.cardamomshelf.node.ingress.ReadinessServer;
 import io.cardamomshelf.node.metric.MeteredOrders;
 import io.cardamomshelf.node.metric.MeteredStore;
-import io.cardamomshelf.node.metric.MetricsServer;
 import io.cardamomshelf.node.metric.ServiceMetrics;
 import io.cardamomshelf.node.metric.ServiceMetrics.Name;
 import io.cardamomshelf.node.port.CallersProtocol;
@@ -129,6 +130,7 @@
         this.workersFollower =
                 createFollower(adapter, Stream.WORKERS, candidate.workers(), WORKERS_PACE);
         this.jobsFollower = createFollower(adapter, Stream.JOBS, candidate.jobs(), JOBS_PACE);
+        CallerBudget budget = new CallerBudget(settings.callerLimits(), clock, timers, metrics);
         this.callers =
                 new CallersServer(
                         vertx,
@@ -141,9 +143,10 @@
                         clock,
                         settings.bounds(),
                         metrics,
+                        budget,
                         operatorsFollower::proofAgeMillis);
-        this.readinessServer = new ReadinessServer(vertx, callers::isReady);
-        this.metricsServer = new MetricsServer(vertx, metrics);
+        this.readinessServer = new ReadinessServer(vertx, callers::isReady, budget);
+        this.metricsServer = new MetricsServer(vertx, metrics, budget);
         metrics.gauge(Name.CONFIGURATION_AGE_MILLIS, operatorsFollower::proofAgeMillis);
         metrics.gauge(Name.JOBS_AGE_MILLIS, jobsFollower::proofAgeMillis);
         metrics.gauge(Name.LEADING, () -> candidate.isLeading() ? 1 : 0);
--- a/node/src/main/java/io/cardamomshelf/node/event/NodeEvent.java
+++ b/node/src/main/java/io/cardamomshelf/node/event/NodeEvent.java
@@ -85,6 +85,11 @@
     CALL_REFUSED(4001, "A call was not successful; the line gives the reason."),
     /** An answer could not be delivered. */
     ANSWER_UNDELIVERED(4002, "The caller's connection ended before its answer was written."),
+    /** Limits for clients were exceeded. */
+    CALLERS_LIMITED(
+            4003,
+            "Limits for clients closed connections or rejected requests; the line gives how many"
+                    + " by limit, and there is at most one in 10 s."),
     /** A job was accepted. */
     JOB_ACCEPTED(5001, "A job is stored, and its caller gets a success."),
     /** A cancellation was accepted. */
--- a/node/src/main/java/io/cardamomshelf/node/ingress/CallersServer.java
+++ b/node/src/main/java/io/cardamomshelf/node/ingress/CallersServer.java
@@ -20,7 +20,6 @@
 import io.cardamomshelf.node.store.WorkersView;
 import io.smallrye.mutiny.Uni;
 import io.vertx.core.http.HttpMethod;
-import io.vertx.core.http.HttpServerOptions;
 import io.vertx.mutiny.core.Vertx;
 import io.vertx.mutiny.core.buffer.Buffer;
 import io.vertx.mutiny.core.http.HttpServer;
@@ -39,15 +38,35 @@
  */
 public final class CallersServer {
 
-    /** After this time without traffic a connection is closed, in seconds. */
-    private static final int IDLE_TIMEOUT_SECONDS = 30;
-
     /** How long before the caller's timeout an answer is sent, in milliseconds. */
     private static final long ANSWER_MARGIN_MILLIS = 200;
 
+    /**
+     * How long the connection of a rejected request stays open, in milliseconds: the client reads
+     * the answer before the connection is reset.
+     */
+    private static final long LINGER_MILLIS = 2_000;
+
+    /** The limit of bodies while there is no configuration, in bytes. */
+    private static final int DEFAULT_MAX_BODY_BYTES = 262_144;
+
     /** The owner of the jobs of public queues, whose calls need no key. */
     private static final OrganisationId PUBLIC_ORGANISATION = OrganisationId.of("public");
 
+    /** A request whose answer hasn't been sent yet. */
+    private static final class CallInProgress {
+        private final HttpServerRequest request;
+        private final long startMillis;
+        private BodyReceiver receiver;
+        private boolean isRejectedEarly;
+        private boolean isSettled;
+
+        private CallInProgress(HttpServerRequest request, long startMillis) {
+            this.request = request;
+            this.startMillis = startMillis;
+        }
+    }
+
     private final Vertx vertx;
     private final CallersProtocol protocol;
     private final OperatorsView operators;
@@ -55,6 +74,8 @@
     private final JobService jobService;
     private final Clock clock;
     private final ServiceMetrics metrics;
+    private final CallerBudget budget;
+    private final EventLimiter events;
     private HttpServer server;
     private boolean draining;
     private int inFlight;
@@ -72,6 +93,7 @@
      * @param clock the clock, not null
      * @param bounds the time bounds of the service, not null
      * @param metrics the metrics to update, not null
+     * @param budget the limits of what clients may make the instance hold, not null
      * @param configurationAgeMillis supplies the time since the configuration was last known to be
      *     current, in milliseconds, not null
      */
@@ -86,12 +108,15 @@
             Clock clock,
             NodeSettings.Bounds bounds,
             ServiceMetrics metrics,
+            CallerBudget budget,
             LongSupplier configurationAgeMillis) {
         this.vertx = vertx;
         this.protocol = protocol;
         this.operators = operators;
         this.clock = clock;
         this.metrics = metrics;
+        this.budget = budget;
+        this.events = new EventLimiter(clock);
         this.freshness =
                 new Freshness(bounds, configurationAgeMillis, jobsFollower::proofAgeMillis);
         CallerAppender appender =
@@ -109,7 +134,8 @@
                                         bounds.quotaOverage()),
                         appender,
                         freshness,
-                        clock);
+                        clock,
+                        budget.reporter());
     }
 
     /**
@@ -119,12 +145,7 @@
      * @return the port, as soon as the server listens on it
      */
     public Uni<Integer> listen(Endpoint endpoint) {
-        HttpServerOptions options =
-                new HttpServerOptions()
-                        .setIdleTimeout(IDLE_TIMEOUT_SECONDS)
-                        .setTcpNoDelay(true)
-                        .setHttp2ClearTextEnabled(false);
-        server = vertx.createHttpServer(options).requestHandler(this::receive);
+        server = budget.createCallersServer(vertx).requestHandler(this::receive);
         return server.listen(endpoint.port(), endpoint.host()).map(HttpServer::actualPort);
     }
 
@@ -155,59 +176,128 @@
     }
 
     private void receive(HttpServerRequest request) {
-        long startMillis = clock.monotonicMillis();
+        CallInProgress call = new CallInProgress(request, clock.monotonicMillis());
         inFlight++;
-        Optional<Configuration> configuration = operators.configuration();
-        int maxBodyBytes =
-                configuration.map(c -> c.limits().maxBodyBytes()).orElse(Integer.MAX_VALUE);
-        Buffer body = Buffer.buffer();
-        request.handler(
-                chunk -> {
-                    if (body.length() <= maxBodyBytes) {
-                        body.appendBuffer(chunk);
-                    }
-                });
-        request.exceptionHandler(failure -> inFlight--);
-        request.endHandler(
-                () ->
-                        Uni.createFrom()
-                                .deferred(() -> handle(request, body, maxBodyBytes, startMillis))
-                                .subscribe()
-                                .with(
-                                        answer -> respond(request, answer, startMillis),
-                                        failure ->
-                                                respondToFailure(request, failure, startMillis)));
+        call.receiver =
+                new BodyReceiver(
+                        request,
+                        maxBodyBytes(),
+                        isAuthorised(request),
+                        budget.bodies(),
+                        (outcome, body) -> bodyEnded(call, outcome, body));
+        request.exceptionHandler(failure -> settle(call));
+        call.receiver.start();
+    }
+
+    private int maxBodyBytes() {
+        return operators
+                .configuration()
+                .map(configuration -> configuration.limits().maxBodyBytes())
+                .orElse(DEFAULT_MAX_BODY_BYTES);
+    }
+
+    private void bodyEnded(CallInProgress call, BodyReceiver.Outcome outcome, Buffer body) {
+        switch (outcome) {
+            case TOO_LONG -> {
+                rejectEarly(
+                        call,
+                        Answer.TOO_LARGE,
+                        "the body is longer than " + maxBodyBytes() + " bytes");
+            }
+            case OVER_BUDGET -> {
+                budget.reporter().exceeded(CallerLimit.BODY_BYTES);
+                rejectEarly(
+                        call, Answer.UNAVAILABLE, "too many bodies are being received, try again");
+            }
+            default ->
+                    Uni.createFrom()
+                            .deferred(() -> handle(call, body))
+                            .subscribe()
+                            .with(
+                                    answer -> respond(call, answer),
+                                    failure -> respondToFailure(call, failure));
+        }
+    }
+
+    /** Answers before the body's end, reads no more of it, and then closes the connection. */
+    private void rejectEarly(CallInProgress call, int status, String reason) {
+        ConnectionGuard.of(call.request.connection().getDelegate()).stopReading();
+        call.isRejectedEarly = true;
+        jobService
+                .refusal(status, reason)
+                .subscribe()
+                .with(
+                        answer -> {
+                            respond(call, answer);
+                            vertx.setTimer(LINGER_MILLIS, id -> close(call.request));
+                        });
+    }
+
+    private static void close(HttpServerRequest request) {
+        request.connection()
+                .close()
+                .subscribe()
+                .with(done -> {}, failure -> logUnclosed(request, failure));
+    }
+
+    private static void logUnclosed(HttpServerRequest request, Throwable failure) {
+        EventLog.of(NodeEvent.UNEXPECTED_ERROR)
+                .with("path", request.path())
+                .with("failure", failure)
+                .write();
     }
 
-    private Uni<Answer> handle(
-            HttpServerRequest request, Buffer body, int maxBodyBytes, long startMillis) {
-        if (body.length() > maxBodyBytes) {
-            return jobService.refusal(
-                    Answer.TOO_LARGE, "the body is longer than " + maxBodyBytes + " bytes");
+    private Uni<Answer> handle(CallInProgress call, Buffer body) {
+        HttpServerRequest request = call.request;
+        // Checked again: the configuration may have changed while the body was received.
+        Authorisation authorisation = authorise(request);
+        if (!authorisation.isAccepted()) {
+            return jobService.refusal(authorisation.status(), authorisation.reason());
         }
+        Route route = authorisation.route();
+        return dispatch(
+                request.method(),
+                new Call(
+                        route,
+                        authorisation.organisation(),
+                        path(request).substring(route.prefix().length()),
+                        body,
+                        deadlineMillis(request, route, call.startMillis)));
+    }
+
+    private boolean isAuthorised(HttpServerRequest request) {
+        try {
+            return authorise(request).isAccepted();
+        } catch (RuntimeException e) {
+            // It occurs again once the body has been discarded, and is answered and logged then.
+            return false;
+        }
+    }
+
+    /** Decides from its head alone whether a call may be made. */
+    private Authorisation authorise(HttpServerRequest request) {
         Optional<Configuration> configuration = operators.configuration();
         if (configuration.isEmpty() || !freshness.isConfigurationUsable()) {
-            return jobService.refusal(Answer.UNAVAILABLE, "the configuration isn't current here");
+            return Authorisation.refused(
+                    Answer.UNAVAILABLE, "the configuration isn't current here");
         }
         RouteTable routeTable = RouteTable.of(configuration.get());
         String host = Optional.ofNullable(request.getHeader("Host")).orElse("");
-        String path = request.path() == null ? "" : request.path();
-        Optional<Route> route = routeTable.findRoute(host, path);
+        Optional<Route> route = routeTable.findRoute(host, path(request));
         if (route.isEmpty()) {
-            return jobService.refusal(Answer.NOT_FOUND, "there is no such queue");
+            return Authorisation.refused(Answer.NOT_FOUND, "there is no such queue");
         }
         Optional<OrganisationId> organisation =
                 route.get().isPublic()
                         ? Optional.of(PUBLIC_ORGANISATION)
                         : protocol.key(request).flatMap(routeTable::findOrganisation);
-        if (organisation.isEmpty()) {
-            return jobService.refusal(Answer.UNAUTHORIZED, "the key is missing or unknown");
-        }
-        String pathSuffix = path.substring(route.get().prefix().length());
-        long deadlineMillis = deadlineMillis(request, route.get(), startMillis);
-        return dispatch(
-                request.method(),
-                new Call(route.get(), organisation.get(), pathSuffix, body, deadlineMillis));
+        return organisation.isEmpty()
+                ? Authorisation.refused(Answer.UNAUTHORIZED, "the key is missing or unknown")
+                : Authorisation.accepted(route.get(), organisation.get());
+    }
+
+    private static String path(HttpServerRequest request) {
+        return request.path() == null ? "" : request.path();
     }
 
     private Uni<Answer> dispatch(HttpMethod method, Call call) {
@@ -237,21 +327,27 @@
         return startMillis + Math.max(ANSWER_MARGIN_MILLIS, allowedMillis - ANSWER_MARGIN_MILLIS);
     }
 
-    private void respond(HttpServerRequest request, Answer answer, long startMillis) {
+    /** Counts the call as answered, once; the result is false if it was before. */
+    private boolean settle(CallInProgress call) {
+        call.receiver.release();
+        if (call.isSettled) {
+            return false;
+        }
+        call.isSettled = true;
         inFlight--;
+        return true;
+    }
+
+    private void respond(CallInProgress call, Answer answer) {
+        if (!settle(call)) {
+            return;
+        }
+        HttpServerRequest request = call.request;
         metrics.count(Name.CALLS, answer.status());
-        long tookMillis = clock.monotonicMillis() - startMillis;
+        long tookMillis = clock.monotonicMillis() - call.startMillis;
         metrics.recordDuration(Name.CALL_MILLIS, tookMillis, methodLabel(request.method()));
         if (answer.isError()) {
-            EventLog.of(NodeEvent.CALL_REFUSED)
-                    .with("method", request.method())
-                    .with("path", request.path())
-                    .with("status", answer.status())
-                    .with("reason", answer.body())
-                    .with("configurationAgeMillis", freshness.configurationAgeMillis())
-                    .with("jobsAgeMillis", freshness.jobsAgeMillis())
-                    .with("tookMillis", tookMillis)
-                    .write();
+            logRefusal(request, answer, tookMillis);
         }
         HttpServerResponse response = request.response();
         if (response.closed() || response.ended()) {
@@ -261,7 +357,7 @@
         if (answer.retryAfterSeconds() > 0) {
             response.putHeader("Retry-After", String.valueOf(answer.retryAfterSeconds()));
         }
-        if (draining) {
+        if (draining || call.isRejectedEarly) {
             response.putHeader("Connection", "close");
         }
         response.end(answer.body())
@@ -269,14 +365,27 @@
                 .with(done -> {}, failure -> logUndelivered(request, answer, failure));
     }
 
-    private static void logUndelivered(
-            HttpServerRequest request, Answer answer, Throwable failure) {
-        EventLog.of(NodeEvent.ANSWER_UNDELIVERED)
-                .with("method", request.method())
-                .with("path", request.path())
-                .with("status", answer.status())
-                .with("cause", failure.getMessage())
-                .write();
+    private void logRefusal(HttpServerRequest request, Answer answer, long tookMillis) {
+        events.write(
+                NodeEvent.CALL_REFUSED,
+                line ->
+                        line.with("method", request.method())
+                                .with("path", request.path())
+                                .with("status", answer.status())
+                                .with("reason", answer.body())
+                                .with("configurationAgeMillis", freshness.configurationAgeMillis())
+                                .with("jobsAgeMillis", freshness.jobsAgeMillis())
+                                .with("tookMillis", tookMillis));
+    }
+
+    private void logUndelivered(HttpServerRequest request, Answer answer, Throwable failure) {
+        events.write(
+                NodeEvent.ANSWER_UNDELIVERED,
+                line ->
+                        line.with("method", request.method())
+                                .with("path", request.path())
+                                .with("status", answer.status())
+                                .with("cause", failure.getMessage()));
     }
 
     /** Maps unknown methods to one label, since each label adds a metric series. */
@@ -288,18 +397,18 @@
         return isKnown ? method.name() : "other";
     }
 
-    private void respondToFailure(HttpServerRequest request, Throwable failure, long startMillis) {
-        EventLog.of(NodeEvent.CALL_REFUSED)
-                .with("method", request.method())
-                .with("path", request.path())
-                .with("failure", failure)
-                .write();
+    private void respondToFailure(CallInProgress call, Throwable failure) {
+        events.write(
+                NodeEvent.CALL_REFUSED,
+                line ->
+                        line.with("method", call.request.method())
+                                .with("path", call.request.path())
+                                .with("failure", failure));
         respond(
-                request,
+                call,
                 new Answer(
                         Answer.OUTCOME_UNKNOWN,
                         protocol.formatRefusal("the call failed inside"),
-                        0),
-                startMillis);
+                        0));
     }
 }
--- a/node/src/main/java/io/cardamomshelf/node/ingress/JobService.java
+++ b/node/src/main/java/io/cardamomshelf/node/ingress/JobService.java
@@ -12,6 +12,7 @@
 import io.cardamomshelf.node.event.NodeEvent;
 import io.cardamomshelf.node.port.AppendOutcome;
 import io.cardamomshelf.node.port.CallersProtocol;
+import io.cardamomshelf.node.port.CallersProtocol.ExcessiveException;
 import io.cardamomshelf.node.port.CallersProtocol.MalformedException;
 import io.cardamomshelf.node.port.StoredRecord;
 import io.cardamomshelf.node.store.JobRecords;
@@ -70,6 +71,8 @@
     private final CallerAppender appender;
     private final Freshness freshness;
     private final Clock clock;
+    private final LimitReporter reporter;
+    private final EventLimiter events;
 
     JobService(
             CallersProtocol protocol,
@@ -79,7 +82,8 @@
             Caps caps,
             CallerAppender appender,
             Freshness freshness,
-            Clock clock) {
+            Clock clock,
+            LimitReporter reporter) {
         this.protocol = protocol;
         this.jobs = jobs;
         this.refresh = refresh;
@@ -88,6 +92,8 @@
         this.appender = appender;
         this.freshness = freshness;
         this.clock = clock;
+        this.reporter = reporter;
+        this.events = new EventLimiter(clock);
     }
 
     /**
@@ -108,6 +114,9 @@
         JobRequest request;
         try {
             request = protocol.parseRequest(call.body());
+        } catch (ExcessiveException e) {
+            reporter.exceeded(CallerLimit.DOCUMENT);
+            return refusal(Answer.BAD_REQUEST, e.getMessage());
         } catch (MalformedException e) {
             return refusal(Answer.BAD_REQUEST, e.getMessage());
         }
@@ -200,11 +209,12 @@
     }
 
     private Uni<Answer> repeatedSubmissionAnswer(JobId id, JobsView.Entry entry) {
-        EventLog.of(NodeEvent.JOB_REPEATED)
-                .with("job", id)
-                .with("state", entry.state())
-                .with("jobsAgeMillis", freshness.jobsAgeMillis())
-                .write();
+        events.write(
+                NodeEvent.JOB_REPEATED,
+                line ->
+                        line.with("job", id)
+                                .with("state", entry.state())
+                                .with("jobsAgeMillis", freshness.jobsAgeMillis()));
         return stateAnswer(entry);
     }
 
--- a/node/src/main/java/io/cardamomshelf/node/ingress/ReadinessServer.java
+++ b/node/src/main/java/io/cardamomshelf/node/ingress/ReadinessServer.java
@@ -5,6 +5,7 @@
 import io.cardamomshelf.node.event.NodeEvent;
 import io.smallrye.mutiny.Uni;
 import io.vertx.mutiny.core.Vertx;
+import io.vertx.mutiny.core.buffer.Buffer;
 import io.vertx.mutiny.core.http.HttpServer;
 import java.util.function.BooleanSupplier;
 
@@ -18,6 +19,8 @@
 
     private final Vertx vertx;
     private final BooleanSupplier ready;
+    private final CallerBudget budget;
+    private final EventLimiter events;
     private boolean wasReady;
 
     /**
@@ -25,10 +28,13 @@
      *
      * @param vertx the Vert.x instance, not null
      * @param ready whether calls can be answered, not null
+     * @param budget the limits of what clients may make the instance hold, not null
      */
-    public ReadinessServer(Vertx vertx, BooleanSupplier ready) {
+    public ReadinessServer(Vertx vertx, BooleanSupplier ready, CallerBudget budget) {
         this.vertx = vertx;
         this.ready = ready;
+        this.budget = budget;
+        this.events = new EventLimiter(budget.clock());
     }
 
     /**
@@ -38,24 +44,22 @@
      * @return the port, as soon as the server listens on it
      */
     public Uni<Integer> listen(Endpoint endpoint) {
-        return vertx.createHttpServer()
+        return budget.createInternalServer(vertx)
                 .requestHandler(
-                        request ->
-                                request.response()
-                                        .setStatusCode(isReady() ? Answer.OK : Answer.UNAVAILABLE)
-                                        .end()
-                                        .subscribe()
-                                        .with(done -> {}, ReadinessServer::logUndelivered))
+                        request -> {
+                            request.response()
+                                    .setStatusCode(isReady() ? Answer.OK : Answer.UNAVAILABLE);
+                            BodilessRequests.answer(request, Buffer.buffer(), this::logUndelivered);
+                        })
                 .listen(endpoint.port(), endpoint.host())
                 .map(HttpServer::actualPort);
     }
 
     /** Only logs the failure: the platform repeats the check every second. */
-    private static void logUndelivered(Throwable failure) {
-        EventLog.of(NodeEvent.ANSWER_UNDELIVERED)
-                .with("path", "readiness")
-                .with("cause", failure.getMessage())
-                .write();
+    private void logUndelivered(Throwable failure) {
+        events.write(
+                NodeEvent.ANSWER_UNDELIVERED,
+                line -> line.with("path", "readiness").with("cause", failure.getMessage()));
     }
 
     private boolean isReady() {
--- a/node/src/main/java/io/cardamomshelf/node/metric/ServiceMetrics.java
+++ b/node/src/main/java/io/cardamomshelf/node/metric/ServiceMetrics.java
@@ -68,7 +68,18 @@
         HIGHEST_WORKER_SPEED_PERCENT(
                 "The highest known speed of a worker, in percent of the fleet's mean, else 100."),
         /** Calls in flight. */
-        IN_FLIGHT("Calls of callers that aren't answered yet.");
+        IN_FLIGHT("Calls of callers that aren't answered yet."),
+        /** Exceeded limits. */
+        CALLERS_LIMITED(
+                "Connections closed and requests rejected by a limit for clients, by limit."),
+        /** Connections of callers. */
+        CALLERS_CONNECTIONS("Open connections of callers."),
+        /** Bodies in memory. */
+        CALLERS_BODY_BYTES("Bytes of callers' bodies in memory."),
+        /** Unread responses and waiting requests. */
+        CALLERS_QUEUED_BYTES(
+                "Bytes of responses that clients haven't read and of requests that wait for the one"
+                        + " before them.");
 
         private final String description;
 
@@ -150,7 +161,12 @@
         gauge.setValue(value);
     }
 
-    MetricRegistry registry() {
+    /**
+     * Returns the registry that holds the metrics, for their export.
+     *
+     * @return the registry, never null
+     */
+    public MetricRegistry registry() {
         return registry;
     }
 
--- a/node/src/main/java/io/cardamomshelf/node/port/CallersProtocol.java
+++ b/node/src/main/java/io/cardamomshelf/node/port/CallersProtocol.java
@@ -73,8 +73,23 @@
      */
     Buffer formatRefusal(String reason);
 
+    /** Thrown if a submission exceeds the limits of a document. */
+    final class ExcessiveException extends MalformedException {
+
+        private static final long serialVersionUID = 1L;
+
+        /**
+         * Creates an exception.
+         *
+         * @param message the limit, not null
+         */
+        public ExcessiveException(String message) {
+            super(message);
+        }
+    }
+
     /** Thrown if a submission is malformed. */
-    final class MalformedException extends Exception {
+    class MalformedException extends Exception {
 
         private static final long serialVersionUID = 1L;
 
--- a/node/src/main/java/io/cardamomshelf/node/settings/NodeSettings.java
+++ b/node/src/main/java/io/cardamomshelf/node/settings/NodeSettings.java
@@ -18,6 +18,7 @@
  * @param metrics the address for the export of metrics, not null
  * @param cores the processor time that the process may use, in cores, more than 0
  * @param bounds the time bounds of the service, not null
+ * @param callerLimits the limits of what clients may make the instance hold, not null
  */
 public record NodeSettings(
         String name,
@@ -26,7 +27,8 @@
         Endpoint readiness,
         Endpoint metrics,
         double cores,
-        Bounds bounds) {
+        Bounds bounds,
+        CallerLimits callerLimits) {
 
     /**
      * The bounds that the platform sets and the service must keep.
@@ -77,6 +79,7 @@
         Checks.notNull("readiness", readiness);
         Checks.notNull("metrics", metrics);
         Checks.notNull("bounds", bounds);
+        Checks.notNull("callerLimits", callerLimits);
         if (!(cores > 0)) {
             throw new IllegalArgumentException("cores: " + cores + " is not a positive number");
         }
--- a/node/src/test/java/io/cardamomshelf/node/ingress/CallersServerTest.java
+++ b/node/src/test/java/io/cardamomshelf/node/ingress/CallersServerTest.java
@@ -1,6 +1,7 @@
 package io.cardamomshelf.node.ingress;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.cardamomshelf.core.base.Endpoint;
 import io.cardamomshelf.core.base.WorkerId;
@@ -17,6 +18,7 @@
 import io.cardamomshelf.node.port.OperatorFact;
 import io.cardamomshelf.node.port.RecordDecoder;
 import io.cardamomshelf.node.port.StoredRecord;
+import io.cardamomshelf.node.settings.CallerLimits;
 import io.cardamomshelf.node.settings.NodeSettings;
 import io.cardamomshelf.node.store.JobRecords;
 import io.cardamomshelf.node.store.JobsView;
@@ -26,10 +28,14 @@
 import io.vertx.mutiny.core.Vertx;
 import io.vertx.mutiny.core.buffer.Buffer;
 import io.vertx.mutiny.core.http.HttpServerRequest;
+import java.io.BufferedReader;
+import java.io.InputStreamReader;
+import java.net.Socket;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
@@ -38,7 +44,7 @@
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 
-/** Tests what a caller gets if an unexpected error occurs while a call is handled. */
+/** Tests what a caller gets if a call fails or is refused early. */
 class CallersServerTest {
 
     private static final Duration TIMEOUT = Duration.ofSeconds(10);
@@ -125,6 +131,7 @@
     private final FakeStore store = new FakeStore(time);
     private final OperatorsView operators = new OperatorsView(new Decoder(), () -> {});
     private final JobsView jobs = new JobsView(new NoListener());
+    private final ServiceMetrics metrics = new ServiceMetrics();
     private final CallersServer server =
             new CallersServer(
                     vertx,
@@ -137,7 +144,8 @@
                     new WorkersView(new Decoder(), new NoListener()),
                     time,
                     new NodeSettings.Bounds(5_000, 3_000, 6_000, 10_000, 120_000, 0),
-                    new ServiceMetrics(),
+                    metrics,
+                    new CallerBudget(CallerLimits.ofSmallestMachine(), time, time, metrics),
                     () -> 0);
 
     @AfterEach
@@ -165,4 +173,25 @@
             assertEquals(0, server.inFlight());
         }
     }
+
+    @Nested
+    class TooLongBody {
+
+        /** Guards against waiting for, and reading, a body that is refused in any case. */
+        @Test
+        void isRefusedBeforeItIsSent() throws Exception {
+            operators.apply(StoredRecord.of("config", new byte[] {1}));
+            int port = server.listen(new Endpoint(HOST, 0)).await().atMost(TIMEOUT);
+            try (Socket socket = new Socket(HOST, port)) {
+                socket.setSoTimeout((int) TIMEOUT.toMillis());
+                String head =
+                        "POST /p/00000000000000a1 HTTP/1.1\r\nHost: 127.0.0.1\r\n"
+                                + "Content-Length: 1001\r\n\r\n";
+                socket.getOutputStream().write(head.getBytes(StandardCharsets.US_ASCII));
+                BufferedReader reader =
+                        new BufferedReader(new InputStreamReader(socket.getInputStream()));
+                assertTrue(reader.readLine().contains("413"));
+            }
+        }
+    }
 }
--- a/node/src/test/java/io/cardamomshelf/node/ingress/JobServiceTest.java
+++ b/node/src/test/java/io/cardamomshelf/node/ingress/JobServiceTest.java
@@ -17,6 +17,7 @@
 import io.cardamomshelf.node.FakeStore;
 import io.cardamomshelf.node.FakeStore.Fault;
 import io.cardamomshelf.node.VirtualTime;
+import io.cardamomshelf.node.metric.ServiceMetrics;
 import io.cardamomshelf.node.port.CallersProtocol;
 import io.cardamomshelf.node.port.Configuration;
 import io.cardamomshelf.node.port.KeyedStore.Stream;
@@ -157,7 +158,8 @@
                     (organisation, request) -> capObstacle,
                     new CallerAppender(time, store, time, freshness::isStoreReachable),
                     freshness,
-                    time);
+                    time,
+                    new LimitReporter(time, time, new ServiceMetrics()));
 
     @BeforeEach
     void follow() {
--- a/node/src/test/java/io/cardamomshelf/node/schedule/SchedulingFixture.java
+++ b/node/src/test/java/io/cardamomshelf/node/schedule/SchedulingFixture.java
@@ -23,6 +23,7 @@
 import io.cardamomshelf.node.port.OperatorFact;
 import io.cardamomshelf.node.port.RecordDecoder;
 import io.cardamomshelf.node.port.StoredRecord;
+import io.cardamomshelf.node.settings.CallerLimits;
 import io.cardamomshelf.node.settings.NodeSettings;
 import io.cardamomshelf.node.store.JobRecords;
 import io.cardamomshelf.node.store.OperatorsView;
@@ -245,7 +246,8 @@
                 UNUSED_ENDPOINT,
                 cores,
                 new NodeSettings.Bounds(
-                        5_000, 3_000, 6_000, maxLeaseMillis, stateKeptMillis, QUOTA_OVERAGE));
+                        5_000, 3_000, 6_000, maxLeaseMillis, stateKeptMillis, QUOTA_OVERAGE),
+                CallerLimits.ofSmallestMachine());
     }
 
     /** Stores the configuration, and the registry entries of workers with these names. */
