Learn run times by queue and shape, and use them for latest starts

RunTimeModel fits a line through the logarithms of estimates and run times of completed jobs, by queue and demand of a task, and forgets with a half-life of 20 s. It corrects the latest start and the wait for a preferred rack, only where it is clearly better than the estimates. The errors of estimates are exported by queue.

Without samples nothing changes.

--- a/core/src/main/java/io/cardamomshelf/core/schedule/FleetObservations.java
+++ b/core/src/main/java/io/cardamomshelf/core/schedule/FleetObservations.java
@@ -19,13 +19,15 @@
     private final FlapDetector flapDetector = new FlapDetector();
     private final Interference interference = new Interference();
     private final WorkerSpeeds workerSpeeds;
+    private final RunTimeModel runTimeModel;
 
     FleetObservations() {
-        this(new WorkerSpeeds(WorkerSpeeds.MIN_WORKERS));
+        this(new WorkerSpeeds(WorkerSpeeds.MIN_WORKERS), new RunTimeModel(RunTimeModel.MAX_SHAPES));
     }
 
-    FleetObservations(WorkerSpeeds workerSpeeds) {
+    FleetObservations(WorkerSpeeds workerSpeeds, RunTimeModel runTimeModel) {
         this.workerSpeeds = workerSpeeds;
+        this.runTimeModel = runTimeModel;
     }
 
     /**
@@ -33,11 +35,16 @@
      *
      * @param completedRuns the runs that have completed their task since the last call
      */
-    void update(Collection<WorkerState> workers, Collection<Run> completedRuns, ClockReading now) {
+    void update(
+            Collection<WorkerState> workers,
+            Collection<LiveJob> jobs,
+            Collection<Run> completedRuns,
+            ClockReading now) {
         stragglerDetector.update(workers, now.monotonicMillis());
         flapDetector.update(workers, now.monotonicMillis());
         interference.update(workers, stragglers(), now.monotonicMillis());
         workerSpeeds.update(workers, completedRuns, stragglers(), now.monotonicMillis());
+        runTimeModel.update(jobs, completedRuns, now.monotonicMillis());
     }
 
     /**
@@ -49,6 +56,15 @@
         return workerSpeeds.summary();
     }
 
+    /**
+     * Returns the errors of callers' estimates of run times, once each.
+     *
+     * @return those of the jobs that have ended since the last call, never null
+     */
+    public List<EstimationError> takeEstimationErrors() {
+        return runTimeModel.takeErrors();
+    }
+
     Set<WorkerId> stragglers() {
         return stragglerDetector.stragglers();
     }
--- a/core/src/main/java/io/cardamomshelf/core/schedule/LocalityPolicy.java
+++ b/core/src/main/java/io/cardamomshelf/core/schedule/LocalityPolicy.java
@@ -1,6 +1,7 @@
 package io.cardamomshelf.core.schedule;
 
 import io.cardamomshelf.core.task.QueuePolicy;
+import io.cardamomshelf.core.task.StepSpec;
 import java.util.Collection;
 import java.util.List;
 
@@ -58,7 +59,20 @@
         return nonLocalExtraMillis(group) * Run.coreEquivalents(group.spec()) * count;
     }
 
+    /** Whether a run is outside its data's rack, or its gang is spread over racks but shouldn't. */
+    static boolean isNonLocal(Run run) {
+        String rack = run.worker.info().rack();
+        StepSpec spec = run.group.spec();
+        if (!spec.dataRack().isEmpty()) {
+            return !spec.dataRack().equals(rack);
+        }
+        return spec.gang()
+                && spec.rackLocal()
+                && run.group.runs().stream()
+                        .anyMatch(member -> !member.worker.info().rack().equals(rack));
+    }
+
     private static long nonLocalExtraMillis(TaskGroup group) {
-        return (NON_LOCAL_SLOWDOWN - 1) * group.spec().estimateMillis();
+        return (NON_LOCAL_SLOWDOWN - 1) * group.expectedMillis();
     }
 }
--- a/core/src/main/java/io/cardamomshelf/core/schedule/Run.java
+++ b/core/src/main/java/io/cardamomshelf/core/schedule/Run.java
@@ -58,6 +58,9 @@
     /** The measurement that its worker last listed, see {@link WorkerLists.Running}. */
     OptionalLong measurement = OptionalLong.empty();
 
+    /** Whether it ended outside its preferred rack, where the platform slows work down. */
+    boolean endedNonLocal;
+
     /**
      * When an attempt at its start last got no answer, on the monotonic clock. The worker may
      * receive such an attempt late.
@@ -125,7 +128,11 @@
         return phase == Phase.STOPPING || phase == Phase.STOPPED;
     }
 
-    /** The expected time to its end, from its progress or its estimate, in milliseconds. */
+    /**
+     * The expected time to its end, from its progress or its estimate, in milliseconds. Learnt run
+     * times aren't used: with them, more jobs of each class were late in {@code
+     * UnequalWorkersTest}.
+     */
     long remainingMillis(long nowMillis) {
         int percent = progress.percent();
         double speed = progress.percentPerSecond(nowMillis);
--- a/core/src/main/java/io/cardamomshelf/core/schedule/RunProgress.java
+++ b/core/src/main/java/io/cardamomshelf/core/schedule/RunProgress.java
@@ -57,24 +57,32 @@
         latestPercent = percent;
     }
 
+    /** Returns the average speed in percent per second, once per run, if it is known. */
+    OptionalDouble takeAverageSpeed() {
+        double speed = averageTaken ? -1 : averagePercentPerSecond();
+        if (speed < 0) {
+            return OptionalDouble.empty();
+        }
+        averageTaken = true;
+        return OptionalDouble.of(speed);
+    }
+
     /**
-     * Returns the average speed in percent per second, once per run: when it covers enough progress
-     * and time. The time before the first progress, such as that of preparations, is left out.
+     * The average speed in percent per second, negative until it covers enough progress and time.
+     * The time before the first progress, such as that of preparations, is left out.
      */
-    OptionalDouble takeAverageSpeed() {
+    double averagePercentPerSecond() {
         int percent = latestPercent - workingSincePercent;
         long spanMillis = latestMillis - workingSinceMillis;
-        if (averageTaken
-                || workingSinceMillis == NEVER
+        if (workingSinceMillis == NEVER
                 || percent < MIN_MEASURED_PERCENT
                 || spanMillis < MIN_SPAN_MILLIS) {
-            return OptionalDouble.empty();
+            return -1;
         }
-        averageTaken = true;
-        return OptionalDouble.of(1_000.0 * percent / spanMillis);
+        return 1_000.0 * percent / spanMillis;
     }
 
-    /** Excludes the run from measurements, as its worker was much slower than usual. */
+    /** Excludes the run from comparisons, as its worker was much slower than usual. */
     void discardAverage() {
         averageTaken = true;
     }
--- a/core/src/main/java/io/cardamomshelf/core/schedule/SchedulerState.java
+++ b/core/src/main/java/io/cardamomshelf/core/schedule/SchedulerState.java
@@ -280,7 +280,7 @@
         List<Order> orders = new ArrayList<>(workers.orphans().takeDueStops(now.monotonicMillis()));
         orders.addAll(ObsoleteRuns.stopOrders(jobs.all(), this, now));
         orders.addAll(drainPolicy.stopOrders(workers.all(), this, now));
-        observations.update(workers.all(), workers.takeCompletedRuns(), now);
+        observations.update(workers.all(), jobs.all(), workers.takeCompletedRuns(), now);
         Round round = new Round(this, now);
         orders.addAll(round.decide(jobs.all()));
         waitReasons = Map.copyOf(round.waitReasons());
--- a/core/src/main/java/io/cardamomshelf/core/schedule/TaskGroup.java
+++ b/core/src/main/java/io/cardamomshelf/core/schedule/TaskGroup.java
@@ -31,12 +31,13 @@
     private final int step;
     private final StepSpec spec;
     private final long readyMillis;
-    private final long latestStartMillis;
+    private final long estimatedLatestStartMillis;
     private final BitSet doneTasks = new BitSet();
     private final Map<Integer, Failures> failures = new HashMap<>();
     private final Map<Integer, String> checkpoints = new HashMap<>();
     private final Map<Integer, Run> runs = new HashMap<>();
     private final Map<WorkerId, Avoidance> avoidances = new HashMap<>();
+    private long expectedMillis;
     private String reservedRack = "";
     private long delayedSinceMillis = NOT_DELAYED;
 
@@ -51,7 +52,8 @@
         this.step = step;
         this.spec = owner.job().request().steps().get(step);
         this.readyMillis = readyMillis;
-        this.latestStartMillis =
+        this.expectedMillis = spec.estimateMillis();
+        this.estimatedLatestStartMillis =
                 objectiveStartMillis()
                         + owner.job().objectiveMillis()
                         - owner.job().request().longestChainMillis(step);
@@ -86,11 +88,22 @@
     }
 
     /**
-     * The latest start with which its job meets its objective by the callers' estimates, in
-     * milliseconds since 1970.
+     * The latest start with which its job meets its objective, by the callers' estimates and the
+     * expected run time of its own tasks, in milliseconds since 1970.
      */
     long latestStartMillis() {
-        return latestStartMillis;
+        long longerMillis = expectedMillis - spec.estimateMillis();
+        return estimatedLatestStartMillis
+                + (long) ((owner.job().queue().slackFactor() - 1) * longerMillis);
+    }
+
+    /** The expected run time of a task, which is the caller's estimate until more is known. */
+    long expectedMillis() {
+        return expectedMillis;
+    }
+
+    void setExpectedMillis(long millis) {
+        expectedMillis = millis;
     }
 
     /** Whether the time that a task takes is known. */
--- a/core/src/main/java/io/cardamomshelf/core/schedule/WorkerSpeeds.java
+++ b/core/src/main/java/io/cardamomshelf/core/schedule/WorkerSpeeds.java
@@ -154,12 +154,11 @@
 
     /** Runs outside their data's rack are slow for that reason, filling ones for want of cores. */
     private static boolean isComparable(Run run) {
-        String dataRack = run.group.spec().dataRack();
         return !run.isBeingStopped()
                 && !run.group.spec().gang()
                 && !run.group.spec().longRunning()
                 && !run.group.spec().filling()
-                && (dataRack.isEmpty() || dataRack.equals(run.worker.info().rack()));
+                && !LocalityPolicy.isNonLocal(run);
     }
 
     private void add(WorkerState worker, double sample, long nowMillis) {
--- a/core/src/main/java/io/cardamomshelf/core/schedule/WorkerTable.java
+++ b/core/src/main/java/io/cardamomshelf/core/schedule/WorkerTable.java
@@ -53,7 +53,7 @@
         return orphans;
     }
 
-    /** Returns the runs that have completed their task since the last call. */
+    /** Returns the runs that have completed their task, or gang, since the last call. */
     List<Run> takeCompletedRuns() {
         List<Run> completed = List.copyOf(completedRuns);
         completedRuns.clear();
@@ -244,7 +244,10 @@
     private void end(Run run, RunEnd end, ClockReading now) {
         if (end == RunEnd.DONE) {
             run.progress.addSample(Run.COMPLETE_PERCENT, now.monotonicMillis());
-            completedRuns.add(run);
+            run.endedNonLocal = LocalityPolicy.isNonLocal(run);
+            if (!run.group.isDone()) {
+                completedRuns.add(run);
+            }
         }
         remove(run);
     }
--- a/node/src/main/java/io/cardamomshelf/node/metric/ServiceMetrics.java
+++ b/node/src/main/java/io/cardamomshelf/node/metric/ServiceMetrics.java
@@ -79,6 +79,10 @@
         GROUPS_OVER_CAP(
                 "Groups of tasks that wait for the cap of their organisation, at the scheduler,"
                         + " else 0."),
+        /** Errors of callers' estimates. */
+        ESTIMATION_ERROR_PERCENT(
+                "Differences between estimated and actual run times, in percent of the latter, by"
+                        + " queue."),
         /** Calls in flight. */
         IN_FLIGHT("Calls of callers that aren't answered yet."),
         /** Exceeded limits. */
@@ -152,6 +156,17 @@
                 .update(Math.max(0, millis), TimeUnit.MILLISECONDS);
     }
 
+    /**
+     * Records a value, of which quantiles are exported.
+     *
+     * @param name the metric, not null
+     * @param value the value
+     * @param labelValues the label values of the series, not null
+     */
+    public void recordValue(Name name, long value, Object... labelValues) {
+        registry.histogram(seriesName(name, labelValues)).update(value);
+    }
+
     /**
      * Registers a gauge, whose value is read at each export.
      *
--- a/node/src/main/java/io/cardamomshelf/node/schedule/RoundReporter.java
+++ b/node/src/main/java/io/cardamomshelf/node/schedule/RoundReporter.java
@@ -2,6 +2,7 @@
 
 import io.cardamomshelf.core.base.JobId;
 import io.cardamomshelf.core.base.WorkerId;
+import io.cardamomshelf.core.schedule.EstimationError;
 import io.cardamomshelf.core.schedule.FleetLoad;
 import io.cardamomshelf.core.schedule.FleetSpeeds;
 import io.cardamomshelf.core.schedule.InterferingPair;
@@ -63,6 +64,7 @@
         logStragglers();
         reportInterference();
         logSpeeds();
+        recordEstimationErrors();
         logLoad();
     }
 
@@ -144,6 +146,13 @@
                 .write();
     }
 
+    private void recordEstimationErrors() {
+        for (EstimationError error : state.observations().takeEstimationErrors()) {
+            context.metrics()
+                    .recordValue(Name.ESTIMATION_ERROR_PERCENT, error.percent(), error.queue());
+        }
+    }
+
     private void logStragglers() {
         Set<WorkerId> stragglers = state.stragglers();
         if (!stragglers.equals(lastStragglers)) {
