Limit whole HTTP exchanges, not only the head of the answer

Cause: both kinds of call in the adapter's Http used the timeout of the HTTP client, which ends with the head of the response. The body was awaited without a limit, and the connection kept its place in the pool.

Ruled out: a fault of the follower's or the link's own retries; both act on a call that fails.

The new module http sends a request and receives the whole response within a longest silence and a longest total, closes the connection of an exchange over a limit, and reports a request that got no connection as not sent. The web client library isn't needed any more.

--- a/client/src/main/java/io/cardamomshelf/client/EntryClient.java
+++ b/client/src/main/java/io/cardamomshelf/client/EntryClient.java
@@ -3,9 +3,8 @@
 import io.cardamomshelf.core.base.Endpoint;
 import io.smallrye.mutiny.Uni;
 import io.vertx.core.http.HttpMethod;
+import io.vertx.core.http.RequestOptions;
 import io.vertx.mutiny.core.Vertx;
-import io.vertx.mutiny.core.buffer.Buffer;
-import io.vertx.mutiny.ext.web.client.HttpRequest;
 import java.net.URLEncoder;
 import java.nio.charset.StandardCharsets;
 
@@ -94,17 +93,17 @@
      */
     public Uni<Reply> call(
             HttpMethod method, Endpoint entry, String path, String key, String body) {
-        HttpRequest<Buffer> request = calls.request(method, entry, path);
+        RequestOptions request = HttpCalls.request(method, entry, path);
         if (!key.isEmpty()) {
             request.putHeader("Idempotency-Key", key);
         }
         return calls.exchange(request, body, CALL_TIMEOUT_MILLIS)
-                .map(response -> new Reply(response.statusCode(), response.bodyAsString()));
+                .map(response -> new Reply(response.status(), response.body().toString()));
     }
 
     private <T> Uni<T> readForOperators(Endpoint entry, String path, Class<T> type) {
-        HttpRequest<Buffer> request =
-                calls.request(HttpMethod.GET, entry, path)
+        RequestOptions request =
+                HttpCalls.request(HttpMethod.GET, entry, path)
                         .putHeader("Authorization", "Bearer " + token);
         return calls.send(request, null, TIMEOUT_MILLIS)
                 .chain(response -> HttpCalls.parseBody(response, type));
--- a/client/src/main/java/io/cardamomshelf/client/HttpCalls.java
+++ b/client/src/main/java/io/cardamomshelf/client/HttpCalls.java
@@ -2,17 +2,17 @@
 
 import io.cardamomshelf.core.base.Endpoint;
 import io.cardamomshelf.core.request.Verdict;
+import io.cardamomshelf.http.HttpExchanges;
+import io.cardamomshelf.http.HttpExchanges.Limits;
+import io.cardamomshelf.http.HttpExchanges.Response;
 import io.smallrye.mutiny.Uni;
+import io.vertx.core.http.HttpClientOptions;
 import io.vertx.core.http.HttpMethod;
-import io.vertx.ext.web.client.WebClientOptions;
+import io.vertx.core.http.RequestOptions;
 import io.vertx.mutiny.core.Vertx;
 import io.vertx.mutiny.core.buffer.Buffer;
-import io.vertx.mutiny.ext.web.client.HttpRequest;
-import io.vertx.mutiny.ext.web.client.HttpResponse;
-import io.vertx.mutiny.ext.web.client.WebClient;
 import java.net.ConnectException;
 import java.net.NoRouteToHostException;
-import java.util.concurrent.TimeoutException;
 
 /**
  * Sends JSON over HTTP for the clients of this package. Each failure becomes a {@link
@@ -30,52 +30,53 @@
     private static final int FIRST_SERVER_ERROR_STATUS = 500;
     private static final int SERVICE_UNAVAILABLE = 503;
 
-    private final WebClient client;
+    private final HttpExchanges exchanges;
 
     HttpCalls(Vertx vertx, int maxConnections) {
-        WebClientOptions options =
-                new WebClientOptions()
+        HttpClientOptions options =
+                new HttpClientOptions()
                         .setConnectTimeout(CONNECT_TIMEOUT_MILLIS)
-                        .setMaxPoolSize(maxConnections)
-                        .setFollowRedirects(false)
-                        .setUserAgentEnabled(false);
-        this.client = WebClient.create(vertx, options);
+                        .setMaxPoolSize(maxConnections);
+        this.exchanges = new HttpExchanges(vertx, options);
     }
 
-    HttpRequest<Buffer> request(HttpMethod method, Endpoint endpoint, String path) {
-        return client.request(method, endpoint.port(), endpoint.host(), path);
+    static RequestOptions request(HttpMethod method, Endpoint endpoint, String path) {
+        return new RequestOptions()
+                .setMethod(method)
+                .setHost(endpoint.host())
+                .setPort(endpoint.port())
+                .setURI(path);
     }
 
     /** Sends a request; fails if the response's status is 400 or above. */
-    Uni<HttpResponse<Buffer>> send(HttpRequest<Buffer> request, String body, long timeoutMillis) {
+    Uni<Response> send(RequestOptions request, String body, long timeoutMillis) {
         return exchange(request, body, timeoutMillis).chain(HttpCalls::failOnErrorStatus);
     }
 
-    /** Sends a request and returns the response, whatever its status. */
-    Uni<HttpResponse<Buffer>> exchange(
-            HttpRequest<Buffer> request, String body, long timeoutMillis) {
-        request.timeout(timeoutMillis);
-        Uni<HttpResponse<Buffer>> sent =
-                body == null ? request.send() : request.sendBuffer(Buffer.buffer(body));
-        return sent.onFailure().transform(HttpCalls::toPlatformException);
+    /** Sends a request and returns the whole response, whatever its status. */
+    Uni<Response> exchange(RequestOptions request, String body, long timeoutMillis) {
+        Buffer content = body == null ? null : Buffer.buffer(body);
+        return exchanges
+                .send(request, connection -> content, Limits.of(timeoutMillis))
+                .onFailure()
+                .transform(HttpCalls::toPlatformException);
     }
 
-    static <T> Uni<T> parseBody(HttpResponse<Buffer> response, Class<T> type) {
+    static <T> Uni<T> parseBody(Response response, Class<T> type) {
         try {
-            String text = response.bodyAsString();
-            return Uni.createFrom().item(Json.read(text == null ? "" : text, type));
+            return Uni.createFrom().item(Json.read(response.body().toString(), type));
         } catch (FormatException e) {
             return Uni.createFrom()
                     .failure(new PlatformException(Verdict.MAY_HAVE_RUN, e.getMessage()));
         }
     }
 
-    private static Uni<HttpResponse<Buffer>> failOnErrorStatus(HttpResponse<Buffer> response) {
-        int status = response.statusCode();
+    private static Uni<Response> failOnErrorStatus(Response response) {
+        int status = response.status();
         if (status < FIRST_ERROR_STATUS) {
             return Uni.createFrom().item(response);
         }
-        String text = status + " " + response.bodyAsString();
+        String text = status + " " + response.body();
         return Uni.createFrom().failure(new PlatformException(verdictOfErrorStatus(status), text));
     }
 
@@ -91,16 +92,9 @@
 
     private static PlatformException toPlatformException(Throwable cause) {
         boolean unsent =
-                cause instanceof ConnectException
-                        || cause instanceof NoRouteToHostException
-                        || isConnectionPoolTimeout(cause);
+                cause instanceof ConnectException || cause instanceof NoRouteToHostException;
         return new PlatformException(
                 unsent ? Verdict.NOT_RUN : Verdict.MAY_HAVE_RUN,
                 cause.getClass().getSimpleName() + ": " + cause.getMessage());
     }
-
-    private static boolean isConnectionPoolTimeout(Throwable cause) {
-        return cause instanceof TimeoutException
-                && String.valueOf(cause.getMessage()).contains("connection pool");
-    }
 }
--- a/client/src/main/java/io/cardamomshelf/client/InstanceListClient.java
+++ b/client/src/main/java/io/cardamomshelf/client/InstanceListClient.java
@@ -42,7 +42,9 @@
      */
     public Uni<List<Instance>> instances() {
         return calls.send(
-                        calls.request(HttpMethod.GET, endpoint, "/instances"), null, TIMEOUT_MILLIS)
+                        HttpCalls.request(HttpMethod.GET, endpoint, "/instances"),
+                        null,
+                        TIMEOUT_MILLIS)
                 .chain(response -> HttpCalls.parseBody(response, Listed.class))
                 .map(Listed::instances);
     }
--- a/client/src/main/java/io/cardamomshelf/client/LogClient.java
+++ b/client/src/main/java/io/cardamomshelf/client/LogClient.java
@@ -53,7 +53,7 @@
      */
     public Uni<Long> append(String stream, String body) {
         return calls.send(
-                        calls.request(HttpMethod.POST, endpoint, path(stream)),
+                        HttpCalls.request(HttpMethod.POST, endpoint, path(stream)),
                         body,
                         TIMEOUT_MILLIS)
                 .chain(response -> HttpCalls.parseBody(response, Appended.class))
@@ -71,7 +71,7 @@
     public Uni<LogPage> read(String stream, long from, long waitMillis) {
         String query = path(stream) + "?from=" + from + "&wait=" + waitMillis;
         return calls.send(
-                        calls.request(HttpMethod.GET, endpoint, query),
+                        HttpCalls.request(HttpMethod.GET, endpoint, query),
                         null,
                         TIMEOUT_MILLIS + waitMillis)
                 .chain(response -> HttpCalls.parseBody(response, LogPage.class));
--- a/client/src/main/java/io/cardamomshelf/client/UpstreamClient.java
+++ b/client/src/main/java/io/cardamomshelf/client/UpstreamClient.java
@@ -2,12 +2,11 @@
 
 import io.cardamomshelf.core.base.Endpoint;
 import io.cardamomshelf.core.request.Verdict;
+import io.cardamomshelf.http.HttpExchanges.Response;
 import io.smallrye.mutiny.Uni;
 import io.vertx.core.http.HttpMethod;
+import io.vertx.core.http.RequestOptions;
 import io.vertx.mutiny.core.Vertx;
-import io.vertx.mutiny.core.buffer.Buffer;
-import io.vertx.mutiny.ext.web.client.HttpRequest;
-import io.vertx.mutiny.ext.web.client.HttpResponse;
 import java.nio.charset.StandardCharsets;
 
 /**
@@ -46,26 +45,26 @@
      * @return the response's whole body; fails with {@link PlatformException}
      */
     public Uni<String> run(Endpoint upstream, String attempt, String payload, long timeoutMillis) {
-        HttpRequest<Buffer> request =
-                calls.request(HttpMethod.POST, upstream, "/v1/run")
+        RequestOptions request =
+                HttpCalls.request(HttpMethod.POST, upstream, "/v1/run")
                         .putHeader(CORRELATION_HEADER, attempt);
         return calls.exchange(request, payload, timeoutMillis)
                 .chain(response -> checkResponse(response, attempt));
     }
 
-    private static Uni<String> checkResponse(HttpResponse<Buffer> response, String attempt) {
-        byte[] body = response.body() == null ? new byte[0] : response.body().getBytes();
-        if (!attempt.equals(response.getHeader(CORRELATION_HEADER))) {
+    private static Uni<String> checkResponse(Response response, String attempt) {
+        byte[] body = response.body().getBytes();
+        if (!attempt.equals(response.header(CORRELATION_HEADER))) {
             return failure(
                     Verdict.MAY_HAVE_RUN,
                     "the upstream's response has no or another attempt's correlation id");
         }
-        if (response.statusCode() != HttpCalls.OK) {
-            int status = response.statusCode();
+        if (response.status() != HttpCalls.OK) {
+            int status = response.status();
             return failure(
                     HttpCalls.verdictOfErrorStatus(status), "the upstream answered " + status);
         }
-        if (!Digest.of(body).equals(response.getHeader(Digest.HEADER))) {
+        if (!Digest.of(body).equals(response.header(Digest.HEADER))) {
             return failure(
                     Verdict.MAY_HAVE_RUN,
                     "the digest of the upstream's response doesn't match its body");
--- a/client/src/main/java/io/cardamomshelf/client/WorkerClient.java
+++ b/client/src/main/java/io/cardamomshelf/client/WorkerClient.java
@@ -87,7 +87,7 @@
      */
     public Uni<String> checkpoint(Endpoint worker, WorkerCommand.Step step) {
         return calls.send(
-                        calls.request(HttpMethod.POST, worker, "/v1/leases/checkpoint"),
+                        HttpCalls.request(HttpMethod.POST, worker, "/v1/leases/checkpoint"),
                         Json.write(step),
                         TIMEOUT_MILLIS)
                 .chain(response -> HttpCalls.parseBody(response, WorkerCommand.Checkpoint.class))
@@ -114,12 +114,12 @@
      */
     public Uni<Optional<WorkerReport>> poll(Endpoint worker, WorkerCommand.Poll poll) {
         return calls.send(
-                        calls.request(HttpMethod.POST, worker, "/v1/report"),
+                        HttpCalls.request(HttpMethod.POST, worker, "/v1/report"),
                         Json.write(poll),
                         TIMEOUT_MILLIS)
                 .chain(
                         response ->
-                                response.statusCode() == HttpCalls.NO_CONTENT
+                                response.status() == HttpCalls.NO_CONTENT
                                         ? Uni.createFrom().item(Optional.<WorkerReport>empty())
                                         : HttpCalls.parseBody(response, WorkerReport.class)
                                                 .map(Optional::of));
@@ -127,7 +127,7 @@
 
     private Uni<Void> sendCommand(Endpoint worker, String path, WorkerCommand command) {
         return calls.send(
-                        calls.request(HttpMethod.POST, worker, path),
+                        HttpCalls.request(HttpMethod.POST, worker, path),
                         Json.write(command),
                         TIMEOUT_MILLIS)
                 .replaceWithVoid();
--- a/sessions/src/test/java/io/cardamomshelf/sessions/ArchitectureTest.java
+++ b/sessions/src/test/java/io/cardamomshelf/sessions/ArchitectureTest.java
@@ -28,6 +28,7 @@
     private static final List<String> MODULES =
             List.of(
                     "core",
+                    "http",
                     "wire",
                     "client",
                     "node",
@@ -88,10 +89,11 @@
     @ParameterizedTest
     @CsvSource({
         "core, ''",
+        "http, ''",
         "wire, core",
-        "client, core",
+        "client, core http",
         "node, core",
-        "platform, core node",
+        "platform, core http node",
         "entry, core wire client",
         "cli, core client",
         "standin, core client"
@@ -132,7 +134,7 @@
                         "platform.address");
 
         @ParameterizedTest
-        @ValueSource(strings = {"core", "wire", "client", "node", "entry", "cli"})
+        @ValueSource(strings = {"core", "http", "wire", "client", "node", "entry", "cli"})
         void doNotAppearInModule(String module) throws IOException {
             try (Stream<Path> files = Files.walk(Path.of("..", module, "src", "main"))) {
                 for (Path file : files.filter(Files::isRegularFile).toList()) {
