Notice reads that are overdue, and resign a scheduler that can't read

A follower logs an answer that is overdue by 2 s and reads beside it. A scheduler whose records are stored 5 s after it last read the jobs to their end resigns, so that a process that can read them is elected. In an outage neither is possible, so nothing changes there. The age of the view of the workers is a metric like those of the other two views.

--- a/node/src/main/java/io/cardamomshelf/node/Node.java
+++ b/node/src/main/java/io/cardamomshelf/node/Node.java
@@ -149,6 +149,7 @@
         this.metricsServer = new MetricsServer(vertx, metrics, budget);
         metrics.gauge(Name.CONFIGURATION_AGE_MILLIS, operatorsFollower::proofAgeMillis);
         metrics.gauge(Name.JOBS_AGE_MILLIS, jobsFollower::proofAgeMillis);
+        metrics.gauge(Name.WORKERS_AGE_MILLIS, workersFollower::proofAgeMillis);
         metrics.gauge(Name.LEADING, () -> candidate.isLeading() ? 1 : 0);
         metrics.gauge(Name.IN_FLIGHT, callers::inFlight);
         SchedulerGauges.register(metrics, candidate, clock);
--- a/node/src/main/java/io/cardamomshelf/node/event/NodeEvent.java
+++ b/node/src/main/java/io/cardamomshelf/node/event/NodeEvent.java
@@ -54,6 +54,11 @@
             2105,
             "A job's progress is longer than the store takes, so the job ends as failed; the line"
                     + " gives the size."),
+    /** The answer to a read is overdue. */
+    STORE_READ_OVERDUE(
+            2106,
+            "The answer to a read of a stream is overdue, so another read is sent beside it; the"
+                    + " line gives the age of the view."),
     /** This process was elected. */
     LEADERSHIP_WON(3001, "This process is the scheduler."),
     /** This process ran for election and wasn't elected. */
@@ -64,7 +69,7 @@
     /** This process was deposed. */
     LEADERSHIP_LOST(3003, "This process was deposed as scheduler."),
     /** This process transfers leadership. */
-    LEADERSHIP_RESIGNED(3004, "This process resigned as scheduler for its shutdown."),
+    LEADERSHIP_RESIGNED(3004, "This process resigned as scheduler."),
     /** Another process was elected. */
     LEADER_SEEN(3005, "Another process is the scheduler."),
     /** The takeover is complete. */
@@ -81,6 +86,11 @@
             3009,
             "A worker has seen a higher fencing token; it isn't called again before it restarts,"
                     + " and the term has to be proven."),
+    /** The scheduler's view of the jobs is outdated. */
+    VIEW_OUTDATED(
+            3010,
+            "The scheduler's records are stored but its view of the jobs isn't current, so it"
+                    + " resigns; the line gives how far the view is behind."),
     /** A call was not successful. */
     CALL_REFUSED(4001, "A call was not successful; the line gives the reason."),
     /** An answer could not be delivered. */
--- a/node/src/main/java/io/cardamomshelf/node/metric/ServiceMetrics.java
+++ b/node/src/main/java/io/cardamomshelf/node/metric/ServiceMetrics.java
@@ -46,6 +46,9 @@
                 "Time since the configuration was last known to be current, in milliseconds."),
         /** Age of the view of the jobs. */
         JOBS_AGE_MILLIS("Time since the jobs were last known to be current, in milliseconds."),
+        /** Age of the view of the workers. */
+        WORKERS_AGE_MILLIS(
+                "Time since the workers were last known to be current, in milliseconds."),
         /** Whether this process is the scheduler. */
         LEADING("1 while this process is the scheduler, else 0."),
         /** Free accelerators. */
--- a/node/src/main/java/io/cardamomshelf/node/schedule/Candidacy.java
+++ b/node/src/main/java/io/cardamomshelf/node/schedule/Candidacy.java
@@ -4,6 +4,7 @@
 import io.cardamomshelf.node.port.KeyedStore.Writer;
 import io.cardamomshelf.node.port.StoredRecord;
 import io.cardamomshelf.node.store.JobRecords;
+import java.util.Optional;
 import java.util.random.RandomGenerator;
 
 /**
@@ -30,14 +31,25 @@
      */
     private static final long FIRST_SEQUENCE_STEP = 1L << 20;
 
-    /** Makes a candidacy for an epoch, with a random identifier and first sequence number. */
-    static Candidacy of(
+    /**
+     * Makes a candidacy for the epoch after the last scheduler's, with a random identifier and
+     * first sequence number. A record with the holder's own name is from a process that has ended,
+     * as only a process that isn't elected is a candidate.
+     */
+    static Candidacy after(
+            Optional<JobRecords.Leader> last,
             String holder,
-            long epoch,
-            boolean predecessorsEnded,
             ClockReading now,
             RandomGenerator random) {
+        long epoch = last.map(JobRecords.Leader::epoch).orElse(0L) + 1;
         long sequence = random.nextLong(FIRST_SEQUENCE_BOUND) * FIRST_SEQUENCE_STEP;
+        boolean predecessorsEnded =
+                last.map(
+                                leader ->
+                                        leader.settled()
+                                                && (leader.resigned()
+                                                        || leader.holder().equals(holder)))
+                        .orElse(true);
         return new Candidacy(
                 holder, random.nextLong(), new Writer(epoch, sequence), now, predecessorsEnded);
     }
--- a/node/src/main/java/io/cardamomshelf/node/schedule/SchedulerCandidate.java
+++ b/node/src/main/java/io/cardamomshelf/node/schedule/SchedulerCandidate.java
@@ -94,6 +94,7 @@
     private final WorkersView workers;
     private final OperatorsView operators;
     private final ObservedRestarts restarts = new ObservedRestarts();
+    private final ViewLag viewLag = new ViewLag();
     private JobRecords.Leader lastLeaderRecord;
     private boolean candidacyInFlight;
     private boolean stopped;
@@ -276,6 +277,7 @@
 
     @Override
     public void caughtUp() {
+        viewLag.readCompleted(clock.monotonicMillis());
         electionTimer.readCompleted(clock.now());
         beginPendingTerm();
     }
@@ -325,26 +327,18 @@
     }
 
     private void checkElection() {
+        if (term != null && viewLag.isExcessive(term)) {
+            transferLeadership();
+        }
         boolean available = term == null && pendingTerm == null && !candidacyInFlight && !stopped;
         boolean ready = operators.configuration().isPresent() && !workers.registered().isEmpty();
         if (electionTimer.isCandidacyDue(clock.now(), available && ready)) {
             candidacyInFlight = true;
-            long epoch = jobs.leader().map(JobRecords.Leader::epoch).orElse(0L) + 1;
-            boolean predecessorsEnded = jobs.leader().map(this::havePredecessorsEnded).orElse(true);
-            candidacy =
-                    Candidacy.of(settings.name(), epoch, predecessorsEnded, clock.now(), random);
+            candidacy = Candidacy.after(jobs.leader(), settings.name(), clock.now(), random);
             appendCandidacy(1);
         }
     }
 
-    /**
-     * Returns whether no earlier scheduler grants leases any more. A record with this node's name
-     * is from a process that has ended, as this process isn't elected.
-     */
-    private boolean havePredecessorsEnded(JobRecords.Leader last) {
-        return last.settled() && (last.resigned() || last.holder().equals(settings.name()));
-    }
-
     private void appendCandidacy(int attempt) {
         store.append(
                         List.of(candidacy.leaderRecord(false, false)),
--- a/node/src/main/java/io/cardamomshelf/node/schedule/SchedulerTerm.java
+++ b/node/src/main/java/io/cardamomshelf/node/schedule/SchedulerTerm.java
@@ -139,6 +139,10 @@
         return context.epoch();
     }
 
+    long lastStoredAppendMillis() {
+        return context.leaderLease().provenMillis();
+    }
+
     <T> T read(Function<SchedulerState, T> reader) {
         return reader.apply(state);
     }
--- a/node/src/main/java/io/cardamomshelf/node/store/StreamFollower.java
+++ b/node/src/main/java/io/cardamomshelf/node/store/StreamFollower.java
@@ -14,6 +14,7 @@
 import io.smallrye.mutiny.subscription.UniEmitter;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.function.Consumer;
 
 /**
  * Reads one stream of the store, passes its records to a {@link Fold}, and measures how long ago
@@ -64,6 +65,16 @@
      */
     private static final long RETRY_MILLIS = 250;
 
+    /**
+     * How long after the requested wait an answer is overdue, in milliseconds. The store's client
+     * gives up an answer that has stopped before that, but not one that arrives slowly.
+     */
+    private static final long OVERDUE_MILLIS = 2_000;
+
+    private static final long OVERDUE_CHECK_MILLIS = 500;
+
+    private static final long NO_ANSWER_DUE = Long.MAX_VALUE;
+
     /** The age of a fold that was never current: longer than the lifetime of any process. */
     private static final long NEVER_CURRENT_AGE_MILLIS = Long.MAX_VALUE / 2;
 
@@ -80,6 +91,9 @@
     private boolean unreachable;
     private boolean running;
 
+    /** When the answer to the regular read in flight is overdue, on the monotonic clock. */
+    private long overdueMillis = NO_ANSWER_DUE;
+
     /** When the last read that reached the end was sent; null before the first. */
     private ClockReading currentAsOf;
 
@@ -116,9 +130,38 @@
     /** Starts to follow the stream. */
     public void start() {
         running = true;
+        timers.every(OVERDUE_CHECK_MILLIS, this::readBesideOverdue);
         load();
     }
 
+    /**
+     * Reads beside a regular read whose answer is overdue. Otherwise the fold would stay outdated
+     * for as long as that answer takes, and nothing would show why.
+     */
+    private void readBesideOverdue() {
+        long nowMillis = clock.monotonicMillis();
+        if (!running || nowMillis < overdueMillis) {
+            return;
+        }
+        overdueMillis = nowMillis + OVERDUE_MILLIS;
+        EventLog.of(NodeEvent.STORE_READ_OVERDUE)
+                .with("stream", stream)
+                .with("position", nextOffset)
+                .with("proofAgeMillis", loaded ? proofAgeMillis() : -1)
+                .write();
+        renewProof();
+    }
+
+    /** Sends a regular read; {@code answered} and {@code failed} are called once it has ended. */
+    private <T> void await(
+            Uni<T> call, long waitMillis, Consumer<T> answered, Consumer<Throwable> failed) {
+        overdueMillis = clock.monotonicMillis() + waitMillis + OVERDUE_MILLIS;
+        call.onTermination()
+                .invoke(() -> overdueMillis = NO_ANSWER_DUE)
+                .subscribe()
+                .with(answered, failed);
+    }
+
     /** Stops after the call in flight. */
     public void stop() {
         running = false;
@@ -244,11 +287,11 @@
         if (!running) {
             return;
         }
-        store.newest(stream, afterKey)
-                .subscribe()
-                .with(
-                        page -> pageRead(page, loadedRecords, firstEndOffset),
-                        failure -> readFailed(failure, this::load));
+        await(
+                store.newest(stream, afterKey),
+                0,
+                page -> pageRead(page, loadedRecords, firstEndOffset),
+                failure -> readFailed(failure, this::load));
     }
 
     /**
@@ -287,16 +330,14 @@
             return;
         }
         ClockReading sent = clock.now();
-        Uni<Tail> call = store.read(stream, nextOffset, waitMillis);
-        call.subscribe()
-                .with(
-                        tail -> tailRead(tail, sent),
-                        failure ->
-                                readFailed(
-                                        failure,
-                                        failure instanceof ExpiredException
-                                                ? this::load
-                                                : this::read));
+        await(
+                store.read(stream, nextOffset, waitMillis),
+                waitMillis,
+                tail -> tailRead(tail, sent),
+                failure ->
+                        readFailed(
+                                failure,
+                                failure instanceof ExpiredException ? this::load : this::read));
     }
 
     private void tailRead(Tail tail, ClockReading sent) {
--- a/node/src/test/java/io/cardamomshelf/node/FakeStore.java
+++ b/node/src/test/java/io/cardamomshelf/node/FakeStore.java
@@ -58,6 +58,9 @@
     /** The records in a page of the newest ones; pages are read at different times. */
     public int pageSize = Integer.MAX_VALUE;
 
+    /** Whether the next read never ends. */
+    public boolean hangsNextRead;
+
     /** The time that a read takes beyond its wait, in milliseconds. */
     public long readMillis = CALL_MILLIS;
 
@@ -147,6 +150,10 @@
 
     @Override
     public Uni<Tail> read(Stream stream, long from, long waitMillis) {
+        if (hangsNextRead) {
+            hangsNextRead = false;
+            return Uni.createFrom().nothing();
+        }
         if (fault == Fault.UNRESPONSIVE || fault == Fault.REFUSING) {
             return failAfter(waitMillis);
         }
--- a/node/src/test/java/io/cardamomshelf/node/schedule/NodeLinks.java
+++ b/node/src/test/java/io/cardamomshelf/node/schedule/NodeLinks.java
@@ -24,6 +24,7 @@
     private final WorkerOrders workers;
     private final Set<WorkerId> disconnectedWorkers = new HashSet<>();
     private boolean storeDisconnected;
+    private boolean readsHang;
 
     NodeLinks(VirtualTime time, ProcessTime processTime, KeyedStore store, WorkerOrders workers) {
         this.time = time;
@@ -36,6 +37,11 @@
         storeDisconnected = true;
     }
 
+    /** From now on no read of the store ends; appends go on. */
+    void hangReads() {
+        readsHang = true;
+    }
+
     void reconnectAll() {
         storeDisconnected = false;
         disconnectedWorkers.clear();
@@ -67,6 +73,9 @@
 
     @Override
     public Uni<Tail> read(Stream stream, long from, long waitMillis) {
+        if (readsHang) {
+            return Uni.createFrom().nothing();
+        }
         return processTime.deliver(
                 storeDisconnected ? failAfter(waitMillis) : store.read(stream, from, waitMillis));
     }
--- a/node/src/test/java/io/cardamomshelf/node/schedule/SuccessionTest.java
+++ b/node/src/test/java/io/cardamomshelf/node/schedule/SuccessionTest.java
@@ -71,6 +71,38 @@
         }
     }
 
+    @Nested
+    class SchedulerThatCannotReadTheJobs {
+
+        /** Guards against a scheduler that keeps the leadership and starts no accepted job. */
+        @Test
+        void isReplacedThoughItsHeartbeatsAreStored() {
+            storeConfigurationAndWorkers("w1");
+            Process one = new Process("one");
+            awaitLeading(one);
+            Process two = new Process("two");
+            time.advance(1_000);
+            one.links.hangReads();
+            submit(1, false);
+            time.advance(9_000);
+            assertFalse(one.candidate.isLeading());
+            assertTrue(two.candidate.isLeading());
+            assertTrue(workers.isRunning(TASK));
+            assertEquals(1, workers.starts.size());
+        }
+
+        /** Guards against a change of scheduler in an outage, in which no process can read. */
+        @Test
+        void keepsTheLeadershipWhileNothingIsStored() {
+            storeConfigurationAndWorkers("w1");
+            Process one = new Process("one");
+            awaitLeading(one);
+            store.fault = Fault.UNRESPONSIVE;
+            time.advance(9_000);
+            assertTrue(one.candidate.isLeading());
+        }
+    }
+
     @Nested
     class Candidates {
 
--- a/node/src/test/java/io/cardamomshelf/node/store/StreamFollowerTest.java
+++ b/node/src/test/java/io/cardamomshelf/node/store/StreamFollowerTest.java
@@ -152,6 +152,21 @@
         }
     }
 
+    @Nested
+    class OverdueRead {
+
+        /** Guards against a view that stays outdated for as long as one answer is awaited. */
+        @Test
+        void isFollowedByAnotherOne() {
+            store.hangsNextRead = true;
+            follower.start();
+            write("a");
+            time.advance(6_000);
+            assertEquals(List.of("a"), appliedKeys);
+            assertTrue(follower.proofAgeMillis() < 4_000, "age " + follower.proofAgeMillis());
+        }
+    }
+
     /** Reads that answer a call from all that was stored before it. */
     @Nested
     class CatchUp {
