Store the cancellation of a job that isn't stored yet

The submission had got no answer from the store, which carried it out seconds later.

Cause: JobService.cancel answered 410 once a read showed that the job wasn't stored, and stored nothing. A read can't show a submission that is on its way.

Ruled out: a view that drops a cancellation that it reads before its job, and a longer read.

Now the cancellation is stored before the 410, with the organisation of its caller, and the view applies it to a job of that organisation whichever of the two comes first. As a record of the jobs' stream it outlives a restart, a change of scheduler and a compaction. A submission of a cancelled identifier gets 410 with the reason, and isn't stored.

--- a/node/src/main/java/io/cardamomshelf/node/event/NodeEvent.java
+++ b/node/src/main/java/io/cardamomshelf/node/event/NodeEvent.java
@@ -110,6 +110,11 @@
     ADVICE_TAKEN(5004, "The placement advice for a step arrived, or there was no answer (-1)."),
     /** A known job was submitted again. */
     JOB_REPEATED(5005, "A job was submitted again; the answer is the state of the stored job."),
+    /** A job that isn't stored was cancelled. */
+    JOB_CANCELLED_EARLY(
+            5006,
+            "A cancellation of a job that isn't stored is kept for a submission that is stored"
+                    + " later; its caller gets 410."),
     /** A run was ordered. */
     RUN_ORDERED(5101, "The scheduler chose a worker for a task and ordered its start."),
     /** An attempt to start a run failed. */
--- a/node/src/main/java/io/cardamomshelf/node/ingress/CallerLimit.java
+++ b/node/src/main/java/io/cardamomshelf/node/ingress/CallerLimit.java
@@ -17,5 +17,7 @@
     /** The number of unanswered requests of a connection. */
     PIPELINE,
     /** The number of tokens or the nesting depth of a document. */
-    DOCUMENT
+    DOCUMENT,
+    /** The number of cancellations of jobs that aren't stored. */
+    EARLY_CANCELLATIONS
 }
--- a/node/src/main/java/io/cardamomshelf/node/ingress/JobService.java
+++ b/node/src/main/java/io/cardamomshelf/node/ingress/JobService.java
@@ -16,10 +16,12 @@
 import io.cardamomshelf.node.port.CallersProtocol.MalformedException;
 import io.cardamomshelf.node.port.StoredRecord;
 import io.cardamomshelf.node.store.JobRecords;
+import io.cardamomshelf.node.store.JobRecords.EarlyCancellation;
 import io.cardamomshelf.node.store.JobsView;
 import io.cardamomshelf.node.store.WorkersView;
 import io.smallrye.mutiny.Uni;
 import java.util.Optional;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.function.Function;
 
 /**
@@ -98,7 +100,7 @@
 
     /**
      * Accepts a job. If the job is stored already, also through another instance, the answer is its
-     * state.
+     * state; if its organisation has cancelled it already, the answer is that it is gone.
      */
     Uni<Answer> submit(Call call) {
         JobId id = JobId.of(call.pathSuffix());
@@ -108,6 +110,9 @@
                     ? refusal(Answer.FORBIDDEN, "the job belongs to another organisation")
                     : repeatedSubmissionAnswer(id, entry.get());
         }
+        if (jobs.earlyCancellations().contains(id, call.organisation())) {
+            return refusal(Answer.GONE, "the job was cancelled before it was accepted");
+        }
         if (!freshness.isStoreReachable()) {
             return refusal(Answer.UNAVAILABLE, "the store doesn't answer here");
         }
@@ -155,9 +160,43 @@
     /**
      * Cancels a job. A job that isn't known here is reported as absent only after a read: its
      * caller won't cancel it again, so a job that was accepted a moment ago would run to its end.
+     * For the same reason the cancellation is stored then, too: the store may carry out a
+     * submission later that its caller has given up.
      */
     Uni<Answer> cancel(Call call) {
-        return withOwnJob(call, entry -> cancel(entry, call), this::absenceAnswer);
+        return withOwnJob(
+                call,
+                entry -> cancel(entry, call),
+                caughtUp -> caughtUp ? cancelEarly(call) : absenceAnswer(false));
+    }
+
+    private Uni<Answer> cancelEarly(Call call) {
+        JobId id = JobId.of(call.pathSuffix());
+        if (jobs.find(id).isPresent()) {
+            // Another organisation's, so no submission of this identifier is accepted.
+            return absenceAnswer(true);
+        }
+        if (!jobs.earlyCancellations().hasRoomFor(call.organisation())) {
+            reporter.exceeded(CallerLimit.EARLY_CANCELLATIONS);
+            return refusal(Answer.UNAVAILABLE, "too many jobs that don't exist were cancelled");
+        }
+        StoredRecord record =
+                JobRecords.earlyCancellation(
+                        new EarlyCancellation(id, call.organisation()),
+                        ThreadLocalRandom.current().nextLong());
+        return append(record, call)
+                .chain(
+                        outcome ->
+                                outcome instanceof AppendOutcome.Stored stored
+                                        ? earlyCancellationAnswer(call, stored)
+                                        : completed(notStoredAnswer(outcome)));
+    }
+
+    private Uni<Answer> earlyCancellationAnswer(Call call, AppendOutcome.Stored stored) {
+        events.write(
+                NodeEvent.JOB_CANCELLED_EARLY,
+                line -> line.with("job", call.pathSuffix()).with("offset", stored.offset()));
+        return findOwn(call).map(this::stateAnswer).orElseGet(() -> absenceAnswer(true));
     }
 
     private Uni<Answer> cancel(JobsView.Entry entry, Call call) {
--- a/node/src/main/java/io/cardamomshelf/node/store/JobRecords.java
+++ b/node/src/main/java/io/cardamomshelf/node/store/JobRecords.java
@@ -33,7 +33,9 @@
  *
  * <p>Each kind of record has its own key, so that a late append of one writer never overwrites the
  * record of another one: {@code a:ID} is the accepted job, {@code c:ID} its cancellation, {@code
- * p:ID} its progress, {@code leader} the scheduler, {@code w:ID} a worker that may get runs.
+ * p:ID} its progress, {@code leader} the scheduler, {@code w:ID} a worker that may get runs. {@code
+ * e:ID:NUMBER} is a cancellation that came before the job; its random number keeps it apart from
+ * others for the same identifier, which may be of other organisations.
  *
  * <p>Stateless and thread-safe.
  */
@@ -45,6 +47,8 @@
         ACCEPTED,
         /** A cancellation. */
         CANCELLED,
+        /** A cancellation of a job that wasn't stored then. */
+        EARLY_CANCELLATION,
         /** The progress of a job. */
         PROGRESS,
         /** The process that is the scheduler. */
@@ -68,8 +72,17 @@
     public record Leader(
             String holder, long epoch, boolean resigned, boolean settled, long candidacy) {}
 
+    /**
+     * A cancellation of a job that wasn't stored then.
+     *
+     * @param job the job, not null
+     * @param organisation the organisation that cancelled it, not null
+     */
+    public record EarlyCancellation(JobId job, OrganisationId organisation) {}
+
     private static final String ACCEPTED = "a:";
     private static final String CANCELLED = "c:";
+    private static final String EARLY_CANCELLATION = "e:";
     private static final String PROGRESS = "p:";
     private static final String LEADER = "leader";
     private static final String WORKER = "w:";
@@ -104,6 +117,18 @@
         return StoredRecord.of(CANCELLED + id, PRESENT);
     }
 
+    /**
+     * Makes the record of a cancellation that came before its job.
+     *
+     * @param cancellation the cancellation, not null
+     * @param number a random number
+     * @return the record, never null
+     */
+    public static StoredRecord earlyCancellation(EarlyCancellation cancellation, long number) {
+        String key = EARLY_CANCELLATION + cancellation.job() + ":" + Long.toHexString(number);
+        return StoredRecord.of(key, write(cancellation));
+    }
+
     /**
      * Makes the record of a job's progress.
      *
@@ -170,6 +195,8 @@
             return Kind.ACCEPTED;
         } else if (key.startsWith(CANCELLED)) {
             return Kind.CANCELLED;
+        } else if (key.startsWith(EARLY_CANCELLATION)) {
+            return Kind.EARLY_CANCELLATION;
         } else if (key.startsWith(PROGRESS)) {
             return Kind.PROGRESS;
         } else if (key.startsWith(WORKER)) {
--- a/node/src/main/java/io/cardamomshelf/node/store/JobsView.java
+++ b/node/src/main/java/io/cardamomshelf/node/store/JobsView.java
@@ -111,6 +111,7 @@
 
     private final Listener listener;
     private Map<JobId, Entry> entries = new LinkedHashMap<>();
+    private EarlyCancellations earlyCancellations = new EarlyCancellations();
     private JobRecords.Leader leader;
     private Roster roster = new Roster();
     private boolean replacing;
@@ -143,6 +144,15 @@
         return entries.values().stream().filter(entry -> entry.job != null).toList();
     }
 
+    /**
+     * Returns the cancellations that came before their jobs.
+     *
+     * @return those that are stored, never null; replaced when the records are loaded again
+     */
+    public EarlyCancellations earlyCancellations() {
+        return earlyCancellations;
+    }
+
     /**
      * Returns the number of jobs in a queue that haven't started.
      *
@@ -179,6 +189,7 @@
         List<StoredRecord> ordered = new ArrayList<>(records);
         ordered.sort((a, b) -> Long.compare(a.offset(), b.offset()));
         entries = new LinkedHashMap<>();
+        earlyCancellations = new EarlyCancellations();
         roster = new Roster();
         replacing = true;
         try {
@@ -211,6 +222,7 @@
         switch (JobRecords.kindOf(record)) {
             case ACCEPTED -> applyAccepted(record);
             case CANCELLED -> applyCancelled(record);
+            case EARLY_CANCELLATION -> applyEarlyCancellation(record);
             case PROGRESS -> {
                 applyProgress(record);
                 reportSchedulerRecord(record);
@@ -239,6 +251,8 @@
         Entry entry = entryOf(record);
         if (entry.job == null) {
             entry.job = JobRecords.read(record, TaskJob.class);
+            entry.cancelled |=
+                    earlyCancellations.contains(entry.job.id(), entry.job.organisation());
             reportChange(entry);
         }
     }
@@ -252,6 +266,22 @@
         reportChange(entry);
     }
 
+    /** Keeps an early cancellation, and applies it if the job has been stored before it. */
+    private void applyEarlyCancellation(StoredRecord record) throws StoreException {
+        Optional<JobRecords.EarlyCancellation> added = earlyCancellations.apply(record);
+        if (added.isEmpty()) {
+            return;
+        }
+        find(added.get().job())
+                .filter(entry -> entry.job.organisation().equals(added.get().organisation()))
+                .filter(entry -> !entry.cancelled)
+                .ifPresent(
+                        entry -> {
+                            entry.cancelled = true;
+                            reportChange(entry);
+                        });
+    }
+
     /** Reports a change of a job, but not while its other records may not have been loaded yet. */
     private void reportChange(Entry entry) {
         if (entry.job != null && !replacing) {
--- a/node/src/test/java/io/cardamomshelf/node/ingress/JobServiceTest.java
+++ b/node/src/test/java/io/cardamomshelf/node/ingress/JobServiceTest.java
@@ -169,8 +169,12 @@
     }
 
     private Call call() {
+        return call(JOB, ORGANISATION);
+    }
+
+    private Call call(JobId id, OrganisationId organisation) {
         long deadlineMillis = time.monotonicMillis() + CALL_TIMEOUT_MILLIS;
-        return new Call(ROUTE, ORGANISATION, JOB.toString(), Buffer.buffer(), deadlineMillis);
+        return new Call(ROUTE, organisation, id.toString(), Buffer.buffer(), deadlineMillis);
     }
 
     /** Waits for an answer in steps of a millisecond, so that the next call follows at once. */
@@ -251,6 +255,94 @@
         }
     }
 
+    /** Guards against a job that runs though its cancellation was answered 410. */
+    @Nested
+    class EarlyCancellation {
+
+        private static final OrganisationId OTHER = OrganisationId.of("other");
+
+        /** Longer than the store takes to carry out a late append, in milliseconds. */
+        private static final long LATE_MILLIS = 6_000;
+
+        private boolean isCancelled() {
+            return jobs.find(JOB).orElseThrow().isCancelled();
+        }
+
+        @Test
+        void holdsForASubmissionThatIsStoredLater() {
+            store.fault = Fault.DELAYED;
+            store.lateAppendMillis = LATE_MILLIS;
+            assertEquals(Answer.OUTCOME_UNKNOWN, await(service.submit(call())).status());
+            store.fault = Fault.NONE;
+            assertEquals(Answer.GONE, await(service.cancel(call())).status());
+            time.advance(LATE_MILLIS);
+            assertTrue(isCancelled());
+            assertEquals("CANCELLED", await(service.queryState(call())).body().toString());
+        }
+
+        @Test
+        void holdsForASubmissionThatIsStoredJustBeforeIt() {
+            store.appendMillis = 50;
+            List<Answer> answers = new ArrayList<>();
+            service.cancel(call()).subscribe().with(answers::add);
+            time.advance(20);
+            acceptElsewhere();
+            time.advance(1_000);
+            assertEquals(1, answers.size());
+            assertTrue(isCancelled());
+        }
+
+        /** Guards against an organisation that cancels the jobs of another one. */
+        @Test
+        void doesNotHoldForAnotherOrganisation() {
+            assertEquals(Answer.GONE, await(service.cancel(call(JOB, OTHER))).status());
+            time.advance(1_000);
+            assertEquals(Answer.OK, await(service.submit(call())).status());
+            assertEquals(Answer.GONE, await(service.cancel(call(JOB, OTHER))).status());
+            time.advance(1_000);
+            assertFalse(isCancelled());
+        }
+
+        /** Guards against an acceptance of a job that never runs. */
+        @Test
+        void letsALaterSubmissionBeAnsweredAsGone() {
+            assertEquals(Answer.GONE, await(service.cancel(call())).status());
+            time.advance(1_000);
+            int before = store.appends;
+            Answer answer = await(service.submit(call()));
+            assertEquals(Answer.GONE, answer.status());
+            assertEquals(before, store.appends);
+            assertTrue(answer.body().toString().contains("cancelled"));
+        }
+
+        /** Guards against a client that fills the store with cancellations. */
+        @Test
+        void isRefusedWhileTheOrganisationHasTooMany() {
+            for (int i = 0; i < 1_000; i++) {
+                JobId id = JobId.of(String.format("%016x", i));
+                assertEquals(Answer.GONE, await(service.cancel(call(id, OTHER))).status());
+            }
+            time.advance(1_000);
+            int before = store.appends;
+            Answer answer = await(service.cancel(call(JOB, OTHER)));
+            assertEquals(Answer.UNAVAILABLE, answer.status());
+            assertTrue(answer.retryAfterSeconds() > 0);
+            assertEquals(before, store.appends);
+            assertEquals(Answer.GONE, await(service.cancel(call())).status());
+        }
+
+        /** Guards against an acknowledgement of a cancellation that isn't stored. */
+        @Test
+        void isNotAcknowledgedWithoutTheStore() {
+            List<Answer> answers = new ArrayList<>();
+            service.cancel(call()).subscribe().with(answers::add);
+            time.advance(2);
+            store.fault = Fault.REFUSING;
+            time.advance(CALL_TIMEOUT_MILLIS);
+            assertEquals(Answer.UNAVAILABLE, answers.get(0).status());
+        }
+    }
+
     @Nested
     class State {
 
--- a/node/src/test/java/io/cardamomshelf/node/store/JobsViewTest.java
+++ b/node/src/test/java/io/cardamomshelf/node/store/JobsViewTest.java
@@ -38,7 +38,10 @@
     class MalformedRecords {
 
         @ParameterizedTest
-        @ValueSource(strings = {"", ":", "a:", "a: ", "c:", "p:", "w:", "leader", "leader:", "x:1"})
+        @ValueSource(
+                strings = {
+                    "", ":", "a:", "a: ", "c:", "p:", "w:", "leader", "leader:", "x:1", "e:", "e:1:"
+                })
         void areIgnored(String key) {
             view.apply(new StoredRecord(key, "{[".getBytes(StandardCharsets.UTF_8), 1));
             view.apply(new StoredRecord(key, new byte[0], 2));
