Keep the cancellation of a job that the own log hasn't accepted yet

The same gap as on the platform's interface: a submission whose append got no answer says "job ID may have been accepted". DELETE of that ID answered 404 and stored nothing, so the job ran once the log had carried the append out.

The cancellation is appended before the 404, and JobTable applies it to a job that is accepted later. It keeps the last 10,000, counted in the order of the log, so that all instances agree. Identifiers there are random and are given by the entry, so no caller can cancel a job of another one in advance.

--- a/core/src/main/java/io/cardamomshelf/core/job/JobTable.java
+++ b/core/src/main/java/io/cardamomshelf/core/job/JobTable.java
@@ -5,8 +5,10 @@
 import java.util.Collection;
 import java.util.Collections;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 
 /**
  * The jobs known from the log's job stream, folded in offset order.
@@ -14,7 +16,8 @@
  * <p>Use: {@code table.fold(offset, record)} for each record. All instances that fold the same
  * records arrive at the same owner for each job.
  *
- * <p>Limits: keeps the last 4,096 ended jobs.
+ * <p>Limits: keeps the last 4,096 ended jobs, and the last 10,000 cancellations of jobs that aren't
+ * accepted.
  *
  * <p>Not thread-safe: belongs to the instance's event loop.
  */
@@ -70,8 +73,17 @@
         }
     }
 
+    /**
+     * The most cancellations that are kept for jobs that aren't accepted; later ones replace old.
+     */
+    static final int MAX_CANCELLED_EARLY = 10_000;
+
     private final Map<JobId, Job> open = new LinkedHashMap<>();
     private final Map<JobId, Job> ended = new LinkedHashMap<>();
+
+    /** The jobs that were cancelled before they were accepted, oldest first. */
+    private final Set<JobId> cancelledEarly = new LinkedHashSet<>();
+
     private long offset;
 
     /**
@@ -120,7 +132,7 @@
         } else if (record instanceof JobRecord.Claimed claimed) {
             claim(recordOffset, claimed);
         } else if (record instanceof JobRecord.Cancelled cancelled) {
-            open.computeIfPresent(cancelled.job(), (id, job) -> job.withCancellation());
+            cancel(cancelled.job());
         } else if (record instanceof JobRecord.Checkpointed checkpointed) {
             String latest = checkpointed.checkpoint();
             open.computeIfPresent(checkpointed.job(), (id, job) -> job.withCheckpoint(latest));
@@ -138,6 +150,21 @@
         offset = Math.max(offset, recordOffset);
     }
 
+    /**
+     * Cancels a job, also if it is accepted later: the log may carry out an append after its sender
+     * gave up.
+     */
+    private void cancel(JobId id) {
+        if (job(id).isPresent()) {
+            open.computeIfPresent(id, (key, job) -> job.withCancellation());
+            return;
+        }
+        cancelledEarly.add(id);
+        if (cancelledEarly.size() > MAX_CANCELLED_EARLY) {
+            cancelledEarly.remove(cancelledEarly.iterator().next());
+        }
+    }
+
     private void accept(long recordOffset, JobRecord.Accepted accepted) {
         if (job(accepted.job()).isEmpty()) {
             Job job =
@@ -146,7 +173,7 @@
                             accepted.spec(),
                             accepted.owner(),
                             recordOffset,
-                            false,
+                            cancelledEarly.remove(accepted.job()),
                             "",
                             Optional.empty());
             open.put(job.id(), job);
--- a/core/src/test/java/io/cardamomshelf/core/job/JobTableTest.java
+++ b/core/src/test/java/io/cardamomshelf/core/job/JobTableTest.java
@@ -1,6 +1,7 @@
 package io.cardamomshelf.core.job;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.cardamomshelf.core.Fixtures;
@@ -45,6 +46,30 @@
         }
     }
 
+    @Nested
+    class CancellationBeforeTheAcceptance {
+
+        /** Guards against a job that runs though its caller was told that there is none. */
+        @Test
+        void holdsForTheJobThatIsAcceptedLater() {
+            table.fold(4, new JobRecord.Cancelled(JOB));
+            accept();
+            assertTrue(table.job(JOB).orElseThrow().cancelled());
+        }
+
+        /** Guards against cancellations of jobs that never come, which fill the table. */
+        @Test
+        void isReplacedByManyLaterOnes() {
+            table.fold(1, new JobRecord.Cancelled(JOB));
+            for (int i = 0; i < JobTable.MAX_CANCELLED_EARLY; i++) {
+                table.fold(2 + i, new JobRecord.Cancelled(Fixtures.job(2 + i)));
+            }
+            JobSpec spec = Fixtures.spec(OrganisationId.of("a"), 16);
+            table.fold(20_000, new JobRecord.Accepted(JOB, spec, FIRST));
+            assertFalse(table.job(JOB).orElseThrow().cancelled());
+        }
+    }
+
     @Nested
     class End {
 
--- a/entry/src/main/java/io/cardamomshelf/entry/CallersApi.java
+++ b/entry/src/main/java/io/cardamomshelf/entry/CallersApi.java
@@ -213,32 +213,40 @@
     }
 
     private void showJob(RoutingContext context) {
-        withJob(context, view -> send(context, OK, view));
+        withJob(context, view -> send(context, OK, view), id -> sendUnknownJob(context, id));
     }
 
     private void cancelJob(RoutingContext context) {
         withJob(
                 context,
                 view ->
-                        jobs.cancel(view.job())
-                                .subscribe()
-                                .with(
-                                        offset ->
-                                                send(
-                                                        context,
-                                                        ACCEPTED,
-                                                        jobs.findView(view.job()).orElseThrow()),
-                                        failure -> reply(context, "", answerLost())));
+                        appendCancellation(
+                                context,
+                                view.job(),
+                                () ->
+                                        send(
+                                                context,
+                                                ACCEPTED,
+                                                jobs.findView(view.job()).orElseThrow())),
+                id -> appendCancellation(context, id, () -> sendUnknownJob(context, id)));
     }
 
-    /** Calls an action with the job that the path names, or sends why there is none. */
-    private void withJob(RoutingContext context, Consumer<JobService.View> action) {
+    /** Stores a cancellation, also of an unknown job: its acceptance may be stored later. */
+    private void appendCancellation(RoutingContext context, JobId id, Runnable whenStored) {
+        jobs.cancel(id)
+                .subscribe()
+                .with(offset -> whenStored.run(), failure -> reply(context, "", answerLost()));
+    }
+
+    /** Calls an action with the job that the path names, or another one if it is unknown. */
+    private void withJob(
+            RoutingContext context, Consumer<JobService.View> action, Consumer<JobId> ifUnknown) {
         try {
             JobId id = JobId.of(context.pathParam("id"));
             jobs.findCurrentView(id)
                     .subscribe()
                     .with(
-                            view -> view.ifPresentOrElse(action, () -> sendUnknownJob(context, id)),
+                            view -> view.ifPresentOrElse(action, () -> ifUnknown.accept(id)),
                             failure -> reply(context, "", Answer.notRun(Reason.LOG_AWAY)));
         } catch (IllegalArgumentException e) {
             sendInvalid(context, "id", e.getMessage());
