--- a/node/src/main/java/io/cardamomshelf/node/store/EarlyCancellations.java
+++ b/node/src/main/java/io/cardamomshelf/node/store/EarlyCancellations.java
@@ -26,7 +26,7 @@
     /** The most early cancellations of one organisation. */
     static final int MAX_PER_ORGANISATION = 1_000;
 
-    /** The most early cancellations in total: about 4 MB in memory and 1 MB in the store. */
+    /** The most early cancellations of all organisations together. */
     static final int MAX_TOTAL = 10_000;
 
     private final Map<String, JobRecords.EarlyCancellation> byKey = new LinkedHashMap<>();
--- a/node/src/main/java/io/cardamomshelf/node/store/StreamFollower.java
+++ b/node/src/main/java/io/cardamomshelf/node/store/StreamFollower.java
@@ -153,7 +153,7 @@
     }
 
     /** Sends a regular read; {@code answered} and {@code failed} are called once it has ended. */
-    private <T> void await(
+    private <T> void awaitAnswer(
             Uni<T> call, long waitMillis, Consumer<T> answered, Consumer<Throwable> failed) {
         overdueMillis = clock.monotonicMillis() + waitMillis + OVERDUE_MILLIS;
         call.onTermination()
@@ -287,7 +287,7 @@
         if (!running) {
             return;
         }
-        await(
+        awaitAnswer(
                 store.newest(stream, afterKey),
                 0,
                 page -> pageRead(page, loadedRecords, firstEndOffset),
@@ -330,7 +330,7 @@
             return;
         }
         ClockReading sent = clock.now();
-        await(
+        awaitAnswer(
                 store.read(stream, nextOffset, waitMillis),
                 waitMillis,
                 tail -> tailRead(tail, sent),
